Serve a request end to end through three nodes

Cause: the project had no code. Change: kernels for scheduling, team limits and membership; nodes that host them; adapters for store, peers, callers, executors and operators; stand-ins; a demo that makes faults and counts what callers and executors saw. Conclusion: the thin path stands.

--- /dev/null
+++ b/commands/demo.go
@@ -0,0 +1,68 @@
+package commands
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/jedib0t/go-pretty/v6/table"
+
+	"jacinthwind/demo"
+)
+
+type demoCommand struct {
+	Seconds int    `help:"Duration in seconds." default:"20"`
+	JSON    bool   `name:"json" help:"Print the report as one JSON object."`
+	Seed    uint64 `help:"Seed of the load; random when 0."`
+	Log     string `help:"Level of the nodes' logs on standard error: debug, info, warn or error." default:"error" enum:"debug,info,warn,error"`
+}
+
+// Run implements the command.
+func (c *demoCommand) Run(ctx context.Context, s *streams) error {
+	log, err := newLogger(c.Log)
+	if err != nil {
+		return err
+	}
+	options := demo.Options{Length: time.Duration(c.Seconds) * time.Second, Seed: c.Seed, Log: log}
+	if options.Seed == 0 {
+		options.Seed = rand.Uint64()
+	}
+	began := time.Now()
+	options.Progress = func(text string) {
+		fmt.Fprintf(s.err, "%6.1fs  %s\n", time.Since(began).Seconds(), text)
+	}
+	report, err := demo.Run(ctx, options)
+	if err != nil {
+		return err
+	}
+	if err := c.print(s, report); err != nil {
+		return err
+	}
+	if !report.Held() {
+		return &exitError{code: ExitFailed, text: "a promise was violated or not tried"}
+	}
+	return nil
+}
+
+func (c *demoCommand) print(s *streams, r *demo.Report) error {
+	if c.JSON {
+		return printJSON(s.out, r)
+	}
+	teams := newTable(s.out, "team", "share", "limit", "max running", "sent", "done", "not_run", "unknown", "p50 ms", "p99 ms")
+	for _, t := range r.Teams {
+		teams.AppendRow(table.Row{
+			t.Team, t.Share, t.Limit, t.MaxRunning, t.Sent, t.Done, t.NotRun, t.Unknown,
+			fmt.Sprintf("%.1f", t.P50MS), fmt.Sprintf("%.1f", t.P99MS),
+		})
+	}
+	teams.Render()
+	promises := newTable(s.out, "promise", "tried", "held", "violated")
+	for _, p := range r.Promises {
+		promises.AppendRow(table.Row{p.Name, p.Tried, p.Tried - p.Violated, p.Violated})
+	}
+	promises.Render()
+	_, err := fmt.Fprintf(s.out, "requests: %d sent, %d done, %d not_run, %d unknown; seed %d\n",
+		r.Requests.Sent, r.Requests.Done, r.Requests.NotRun, r.Requests.Unknown, r.Seed)
+	return err
+}
--- /dev/null
+++ b/common/header/doc.go
@@ -0,0 +1,2 @@
+// Package header names the HTTP headers of the system's interfaces.
+package header
--- /dev/null
+++ b/common/jsonhttp/doc.go
@@ -0,0 +1,2 @@
+// Package jsonhttp carries typed JSON messages over HTTP.
+package jsonhttp
--- /dev/null
+++ b/core/config/decode.go
@@ -0,0 +1,114 @@
+package config
+
+import (
+	"bytes"
+	_ "embed" // The schema is embedded.
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"sync"
+
+	"github.com/santhosh-tekuri/jsonschema/v6"
+	"golang.org/x/text/language"
+	"golang.org/x/text/message"
+)
+
+//go:embed schema.json
+var documentSchema []byte
+
+var compiledDocumentSchema = sync.OnceValue(func() *jsonschema.Schema {
+	return mustCompile("document.json", documentSchema)
+})
+
+func mustCompile(name string, schema []byte) *jsonschema.Schema {
+	tree, err := jsonschema.UnmarshalJSON(bytes.NewReader(schema))
+	if err != nil {
+		panic(err)
+	}
+	c := jsonschema.NewCompiler()
+	if err := c.AddResource(name, tree); err != nil {
+		panic(err)
+	}
+	return c.MustCompile(name)
+}
+
+// Decode reads a document from data and returns every fault of its form with
+// file as the place; references between entries are left to Check.
+func Decode(file string, data []byte) (Document, Findings) {
+	var doc Document
+	fs := decode(file, data, compiledDocumentSchema(), &doc)
+	return doc, fs
+}
+
+// DecodeWith reads JSON from data into a value after checking it against a
+// schema, and returns every fault with file as the place.
+func DecodeWith(file string, data, schema []byte, into any) Findings {
+	return decode(file, data, mustCompile("schema.json", schema), into)
+}
+
+func decode(file string, data []byte, schema *jsonschema.Schema, into any) Findings {
+	tree, err := jsonschema.UnmarshalJSON(bytes.NewReader(data))
+	if err != nil {
+		return Findings{syntaxFinding(file, data, err)}
+	}
+	if err := schema.Validate(tree); err != nil {
+		return schemaFindings(file, err)
+	}
+	if err := json.Unmarshal(data, into); err != nil {
+		return Findings{syntaxFinding(file, data, err)}
+	}
+	return nil
+}
+
+func syntaxFinding(file string, data []byte, err error) Finding {
+	place := "$"
+	var syntax *json.SyntaxError
+	if errors.As(err, &syntax) {
+		place = fmt.Sprintf("line %d", 1+bytes.Count(data[:min(int(syntax.Offset), len(data))], []byte("\n")))
+	}
+	return Finding{File: file, Path: place, Reason: "not valid JSON: " + err.Error()}
+}
+
+func schemaFindings(file string, err error) Findings {
+	var invalid *jsonschema.ValidationError
+	if !errors.As(err, &invalid) {
+		return Findings{{File: file, Path: "$", Reason: err.Error()}}
+	}
+	var fs Findings
+	printer := message.NewPrinter(language.English)
+	var walk func(e *jsonschema.ValidationError)
+	walk = func(e *jsonschema.ValidationError) {
+		if len(e.Causes) == 0 {
+			fs = append(fs, Finding{
+				File:   file,
+				Path:   jsonPath(e.InstanceLocation),
+				Reason: e.ErrorKind.LocalizedString(printer),
+			})
+		}
+		for _, cause := range e.Causes {
+			walk(cause)
+		}
+	}
+	walk(invalid)
+	return fs
+}
+
+func jsonPath(location []string) string {
+	if len(location) == 0 {
+		return "$"
+	}
+	var b strings.Builder
+	for i, step := range location {
+		if _, err := strconv.Atoi(step); err == nil {
+			b.WriteString("[" + step + "]")
+			continue
+		}
+		if i > 0 {
+			b.WriteByte('.')
+		}
+		b.WriteString(step)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/core/event/doc.go
@@ -0,0 +1,2 @@
+// Package event is the catalogue of numbered log events.
+package event
--- /dev/null
+++ b/core/membership/assignment.go
@@ -0,0 +1,101 @@
+package membership
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+)
+
+// ShardKind is the sort of thing that a node owns.
+type ShardKind string
+
+// The kinds of shards.
+const (
+	KindPool ShardKind = "pool"
+	KindTeam ShardKind = "team"
+)
+
+// Shard is a pool whose requests, or a team whose limit, one node decides on.
+type Shard struct {
+	Kind ShardKind
+	Name string
+}
+
+// String returns the form used in the assignment, such as "pool/proofs".
+func (s Shard) String() string {
+	return string(s.Kind) + "/" + s.Name
+}
+
+// MarshalText writes the form of String.
+func (s Shard) MarshalText() ([]byte, error) {
+	return []byte(s.String()), nil
+}
+
+// UnmarshalText reads the form of String.
+func (s *Shard) UnmarshalText(text []byte) error {
+	kind, name, ok := strings.Cut(string(text), "/")
+	if !ok || (ShardKind(kind) != KindPool && ShardKind(kind) != KindTeam) || name == "" {
+		return fmt.Errorf("shard %q: want pool/NAME or team/NAME", text)
+	}
+	*s = Shard{Kind: ShardKind(kind), Name: name}
+	return nil
+}
+
+func compareShards(a, b Shard) int {
+	return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name))
+}
+
+// Owner is the node that decides on a shard.
+type Owner struct {
+	// Node is the id of one incarnation of a node.
+	Node string `json:"node"`
+	// Epoch grows with every change of owner.
+	Epoch uint64 `json:"epoch"`
+	// Clean means that the previous owner handed its state over.
+	Clean bool `json:"clean,omitempty"`
+}
+
+// Assignment is the record in the store that says who owns what.
+type Assignment struct {
+	Shards map[Shard]Owner `json:"shards"`
+	// Revision is the store revision of the record, zero where there is none.
+	Revision int64 `json:"-"`
+}
+
+// Clone returns a copy that shares nothing.
+func (a Assignment) Clone() Assignment {
+	shards := maps.Clone(a.Shards)
+	if shards == nil {
+		shards = make(map[Shard]Owner)
+	}
+	return Assignment{Shards: shards, Revision: a.Revision}
+}
+
+// SortedShards returns the assigned shards in order.
+func (a Assignment) SortedShards() []Shard {
+	return slices.SortedFunc(maps.Keys(a.Shards), compareShards)
+}
+
+// DecodeAssignment reads the record from the store.
+func DecodeAssignment(value []byte, revision int64) (Assignment, error) {
+	a := Assignment{Revision: revision}
+	if err := json.Unmarshal(value, &a); err != nil {
+		return a, fmt.Errorf("assignment at revision %d: %w", revision, err)
+	}
+	return a, nil
+}
+
+// Member is a node as it is listed in the store.
+type Member struct {
+	// ID names one incarnation of the node.
+	ID string `json:"id"`
+	// Name is the node's name in its settings.
+	Name       string `json:"name"`
+	Address    string `json:"address"`
+	DataCentre string `json:"data_centre"`
+	// Leaving members become owners of nothing.
+	Leaving bool `json:"leaving,omitempty"`
+}
--- /dev/null
+++ b/core/membership/kernel.go
@@ -0,0 +1,457 @@
+package membership
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/dgryski/go-rendezvous"
+
+	"jacinthwind/core/event"
+)
+
+const (
+	// proposeStagger is the head start of each node over the next one when an
+	// assignment has to be written.
+	proposeStagger = 150 * time.Millisecond
+	// writeTimeout is how long the result of a write is awaited before the
+	// record is read again.
+	writeTimeout = 2 * time.Second
+	// DefaultSettleTime is how long a member must have been listed before
+	// shards are moved to it.
+	DefaultSettleTime = 5 * time.Second
+	// moveInterval is the time between two moves for balance.
+	moveInterval = 500 * time.Millisecond
+)
+
+// Effects are the outputs of a step.
+type Effects struct {
+	Activate   []Activate
+	Deactivate []Shard
+	// Write is the assignment to write, nil for none; its Revision is the one
+	// that the write expects.
+	Write *Assignment
+	// Handovers are the shards whose state is to be sent to their next owner.
+	Handovers []Handover
+	Notes     []event.Note
+}
+
+// Activate makes this node decide on a shard.
+type Activate struct {
+	Shard Shard
+	Epoch uint64
+	// Clean means that the predecessor's state was sent to this node.
+	Clean bool
+	// First means that the shard never had an owner.
+	First bool
+}
+
+// Handover sends a shard's state to its next owner.
+type Handover struct {
+	Shard Shard
+	// Epoch is the one under which the next owner will act.
+	Epoch uint64
+	To    Member
+}
+
+// Kernel is the state machine of one node's membership; its zero value is a
+// node without lease.
+type Kernel struct {
+	// SettleTime is how long a member must have been listed before shards move
+	// to it, DefaultSettleTime where zero.
+	SettleTime time.Duration
+
+	now        time.Time
+	self       Member
+	leaseUntil time.Time
+	members    map[string]Member
+	joinedAt   map[string]time.Time
+	assignment Assignment
+	loaded     bool
+	shards     []Shard
+	leaving    bool
+
+	active map[Shard]uint64
+	// handing holds the handovers in progress; sent is true once the next
+	// owner has the state.
+	handing map[Shard]*handing
+	// wantedAt is since when the assignment needs a change.
+	wantedAt time.Time
+	writing  bool
+	writeAt  time.Time
+	movedAt  time.Time
+
+	effects Effects
+}
+
+type handing struct {
+	Handover
+	sent bool
+}
+
+// LeaseGranted starts a new incarnation of this node.
+func (k *Kernel) LeaseGranted(now time.Time, self Member, until time.Time) *Effects {
+	k.begin(now)
+	k.self = self
+	k.leaseUntil = until
+	k.note(event.LeaseGranted, self.ID, "")
+	return k.decide()
+}
+
+// LeaseRenewed extends the lease.
+func (k *Kernel) LeaseRenewed(now, until time.Time) *Effects {
+	k.begin(now)
+	// Ownership that has run out once does not come back under the same id.
+	if k.hasLease() && until.After(k.leaseUntil) {
+		k.leaseUntil = until
+	}
+	return k.decide()
+}
+
+// LeaseLost ends this incarnation and everything it owns.
+func (k *Kernel) LeaseLost(now time.Time) *Effects {
+	k.begin(now)
+	k.leaseUntil = time.Time{}
+	k.note(event.LeaseLost, k.self.ID, "")
+	return k.decide()
+}
+
+// MembersChanged takes the nodes that hold a lease in the store.
+func (k *Kernel) MembersChanged(now time.Time, members []Member) *Effects {
+	k.begin(now)
+	joined := make(map[string]time.Time, len(members))
+	k.members = make(map[string]Member, len(members))
+	for _, m := range members {
+		k.members[m.ID] = m
+		since, known := k.joinedAt[m.ID]
+		if !known {
+			since = now
+		}
+		joined[m.ID] = since
+	}
+	k.joinedAt = joined
+	return k.decide()
+}
+
+// AssignmentChanged takes the record from the store; an older one is ignored.
+func (k *Kernel) AssignmentChanged(now time.Time, a Assignment) *Effects {
+	k.begin(now)
+	if k.loaded && a.Revision <= k.assignment.Revision {
+		return k.decide()
+	}
+	k.assignment = a
+	k.loaded = true
+	k.writing = false
+	return k.decide()
+}
+
+// ShardsChanged takes the pools and teams of the configuration.
+func (k *Kernel) ShardsChanged(now time.Time, shards []Shard) *Effects {
+	k.begin(now)
+	k.shards = slices.Clone(shards)
+	slices.SortFunc(k.shards, compareShards)
+	return k.decide()
+}
+
+// WriteFailed tells that a write lost a race or has no known result; the
+// record has to be read again before the next one.
+func (k *Kernel) WriteFailed(now time.Time) *Effects {
+	k.begin(now)
+	k.writing = false
+	k.wantedAt = time.Time{}
+	k.note(event.AssignmentLost, k.self.ID, "")
+	return k.decide()
+}
+
+// HandoverSent tells whether the next owner has the state of a shard.
+func (k *Kernel) HandoverSent(now time.Time, s Shard, ok bool) *Effects {
+	k.begin(now)
+	h, found := k.handing[s]
+	if !found {
+		return k.decide()
+	}
+	if !ok {
+		k.note(event.HandoverFailed, s.String(), h.To.ID)
+	}
+	h.sent = true
+	h.failed(ok)
+	return k.decide()
+}
+
+// failed lets the next owner recover where it did not get the state.
+func (h *handing) failed(ok bool) {
+	if !ok {
+		h.To = Member{}
+	}
+}
+
+// Leave hands over everything that this node owns.
+func (k *Kernel) Leave(now time.Time) *Effects {
+	k.begin(now)
+	k.leaving = true
+	return k.decide()
+}
+
+// Tick lets time-driven decisions happen.
+func (k *Kernel) Tick(now time.Time) *Effects {
+	k.begin(now)
+	return k.decide()
+}
+
+// OwnedUntil is the time up to which this node may act as an owner.
+func (k *Kernel) OwnedUntil() time.Time {
+	return k.leaseUntil
+}
+
+// Assignment returns the latest known record.
+func (k *Kernel) Assignment() Assignment {
+	return k.assignment
+}
+
+// Members returns the listed nodes by id.
+func (k *Kernel) Members() map[string]Member {
+	return k.members
+}
+
+// IsEmpty reports whether this node owns nothing.
+func (k *Kernel) IsEmpty() bool {
+	return len(k.active) == 0
+}
+
+func (k *Kernel) begin(now time.Time) {
+	k.effects = Effects{}
+	if now.After(k.now) {
+		k.now = now
+	}
+	if k.active == nil {
+		k.active = make(map[Shard]uint64)
+		k.handing = make(map[Shard]*handing)
+	}
+}
+
+func (k *Kernel) hasLease() bool {
+	return k.now.Before(k.leaseUntil)
+}
+
+func (k *Kernel) decide() *Effects {
+	k.followAssignment()
+	if k.hasLease() && k.loaded {
+		k.handOver()
+		k.propose()
+	}
+	return &k.effects
+}
+
+// followAssignment starts and stops deciding on shards as the record says.
+func (k *Kernel) followAssignment() {
+	for _, s := range slices.SortedFunc(maps.Keys(k.active), compareShards) {
+		owner := k.assignment.Shards[s]
+		if k.hasLease() && owner.Node == k.self.ID && owner.Epoch == k.active[s] {
+			continue
+		}
+		delete(k.active, s)
+		delete(k.handing, s)
+		k.effects.Deactivate = append(k.effects.Deactivate, s)
+	}
+	if !k.hasLease() || !k.loaded {
+		return
+	}
+	for _, s := range k.shards {
+		k.followShard(s)
+	}
+}
+
+func (k *Kernel) followShard(s Shard) {
+	owner, assigned := k.assignment.Shards[s]
+	if !assigned || owner.Node != k.self.ID {
+		return
+	}
+	if _, active := k.active[s]; active {
+		return
+	}
+	k.active[s] = owner.Epoch
+	k.effects.Activate = append(k.effects.Activate, Activate{
+		Shard: s, Epoch: owner.Epoch, Clean: owner.Clean, First: owner.Epoch == 1,
+	})
+}
+
+// handOver starts the handovers that leaving or balance ask for.
+func (k *Kernel) handOver() {
+	if k.leaving {
+		for _, s := range slices.SortedFunc(maps.Keys(k.active), compareShards) {
+			k.startHandover(s)
+		}
+		return
+	}
+	if len(k.handing) > 0 || k.now.Sub(k.movedAt) < moveInterval {
+		return
+	}
+	if s, ok := k.excessShard(); ok {
+		k.movedAt = k.now
+		k.startHandover(s)
+	}
+}
+
+func (k *Kernel) startHandover(s Shard) {
+	if _, started := k.handing[s]; started {
+		return
+	}
+	to, ok := k.choose(s, k.candidates())
+	if !ok {
+		return
+	}
+	h := &handing{Handover: Handover{Shard: s, Epoch: k.active[s] + 1, To: to}}
+	k.handing[s] = h
+	k.effects.Handovers = append(k.effects.Handovers, h.Handover)
+}
+
+// excessShard returns a shard of this node that belongs to a settled member
+// which owns less than its part, while this node owns more than its own.
+// Moving only what is in excess keeps ownership where it is otherwise.
+func (k *Kernel) excessShard() (Shard, bool) {
+	settled := k.settledMembers()
+	if len(settled) < 2 {
+		return Shard{}, false
+	}
+	owned := k.ownedCounts()
+	total := len(k.shards)
+	ceiling := (total + len(settled) - 1) / len(settled)
+	if owned[k.self.ID] <= ceiling {
+		return Shard{}, false
+	}
+	for _, s := range slices.SortedFunc(maps.Keys(k.active), compareShards) {
+		to, ok := k.choose(s, settled)
+		if ok && to.ID != k.self.ID && owned[to.ID] < ceiling {
+			return s, true
+		}
+	}
+	return Shard{}, false
+}
+
+func (k *Kernel) settledMembers() []Member {
+	settle := k.SettleTime
+	if settle == 0 {
+		settle = DefaultSettleTime
+	}
+	var settled []Member
+	for _, m := range k.candidates() {
+		if m.ID == k.self.ID || k.now.Sub(k.joinedAt[m.ID]) >= settle {
+			settled = append(settled, m)
+		}
+	}
+	return settled
+}
+
+func (k *Kernel) ownedCounts() map[string]int {
+	counts := make(map[string]int)
+	for _, s := range k.shards {
+		counts[k.assignment.Shards[s].Node]++
+	}
+	return counts
+}
+
+// propose writes the assignment when a shard has no living owner or a
+// handover has been sent.
+func (k *Kernel) propose() {
+	if k.writing {
+		if k.now.Sub(k.writeAt) < writeTimeout {
+			return
+		}
+		k.writing = false
+	}
+	next, changed, urgent := k.nextAssignment()
+	if !changed {
+		k.wantedAt = time.Time{}
+		return
+	}
+	if k.wantedAt.IsZero() {
+		k.wantedAt = k.now
+	}
+	if !urgent && k.now.Sub(k.wantedAt) < time.Duration(k.rank())*proposeStagger {
+		return
+	}
+	k.writing = true
+	k.writeAt = k.now
+	k.wantedAt = time.Time{}
+	k.effects.Write = &next
+	k.note(event.AssignmentWritten, k.self.ID, fmt.Sprintf("after revision %d", next.Revision))
+}
+
+// nextAssignment returns the record that should follow the present one; it is
+// urgent where this node's own handovers wait for it.
+func (k *Kernel) nextAssignment() (next Assignment, changed, urgent bool) {
+	next = k.assignment.Clone()
+	for _, s := range k.shards {
+		owner := next.Shards[s]
+		if h, ok := k.handing[s]; ok {
+			if h.sent {
+				next.Shards[s] = k.successor(s, owner, h)
+				changed, urgent = true, true
+			}
+			continue
+		}
+		if _, alive := k.members[owner.Node]; alive {
+			continue
+		}
+		to, ok := k.choose(s, k.candidates())
+		if !ok {
+			continue
+		}
+		next.Shards[s] = Owner{Node: to.ID, Epoch: owner.Epoch + 1}
+		changed = true
+	}
+	return next, changed, urgent
+}
+
+// successor is the owner after a handover.
+func (k *Kernel) successor(s Shard, owner Owner, h *handing) Owner {
+	if _, alive := k.members[h.To.ID]; alive {
+		return Owner{Node: h.To.ID, Epoch: owner.Epoch + 1, Clean: true}
+	}
+	to, ok := k.choose(s, k.candidates())
+	if !ok {
+		return owner
+	}
+	return Owner{Node: to.ID, Epoch: owner.Epoch + 1}
+}
+
+// candidates are the members that may become owners.
+func (k *Kernel) candidates() []Member {
+	return slices.DeleteFunc(k.sortedMembers(), func(m Member) bool {
+		return m.Leaving || (k.leaving && m.ID == k.self.ID)
+	})
+}
+
+func (k *Kernel) sortedMembers() []Member {
+	ids := slices.Sorted(maps.Keys(k.members))
+	members := make([]Member, len(ids))
+	for i, id := range ids {
+		members[i] = k.members[id]
+	}
+	return members
+}
+
+// choose returns the member that rendezvous hashing gives a shard to.
+func (k *Kernel) choose(s Shard, members []Member) (Member, bool) {
+	if len(members) == 0 {
+		return Member{}, false
+	}
+	ids := make([]string, len(members))
+	for i, m := range members {
+		ids[i] = m.ID
+	}
+	id := rendezvous.New(ids, xxhash.Sum64String).Lookup(s.String())
+	i := slices.Index(ids, id)
+	return members[i], true
+}
+
+// rank is the position of this node among the members in the order of ids.
+func (k *Kernel) rank() int {
+	return max(0, slices.IndexFunc(k.sortedMembers(), func(m Member) bool { return m.ID == k.self.ID }))
+}
+
+func (k *Kernel) note(n event.Number, subject, detail string) {
+	k.effects.Notes = append(k.effects.Notes, event.Note{Number: n, Subject: subject, Detail: detail})
+}
--- /dev/null
+++ b/core/order/init.go
@@ -0,0 +1,16 @@
+package order
+
+import "jacinthwind/core"
+
+// The names under which the orders are registered.
+const (
+	NameFair       = "fair"
+	NameFIFO       = "fifo"
+	NameRoundRobin = "round_robin"
+)
+
+func init() {
+	core.Orders.Register(NameFair, func() core.Order { return Fair{} })
+	core.Orders.Register(NameFIFO, func() core.Order { return FIFO{} })
+	core.Orders.Register(NameRoundRobin, func() core.Order { return RoundRobin{} })
+}
--- /dev/null
+++ b/io/caller/doc.go
@@ -0,0 +1,2 @@
+// Package caller serves the callers that hand in requests.
+package caller
--- /dev/null
+++ b/io/executor/doc.go
@@ -0,0 +1,2 @@
+// Package executor speaks to the executors that run tasks.
+package executor
--- /dev/null
+++ b/io/executor/message.go
@@ -0,0 +1,92 @@
+package executor
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"jacinthwind/core"
+)
+
+// The paths of an executor's calls.
+const (
+	PathTasks = "/v1/tasks"
+	PathStop  = "/v1/stop"
+	PathUsage = "/v1/usage"
+)
+
+// StopQuery asks for the early end of a task.
+type StopQuery struct {
+	Attempt string `json:"attempt"`
+}
+
+// StopReply is the answer to a StopQuery.
+type StopReply struct {
+	// Running is false when the task was not there any more.
+	Running bool `json:"running"`
+}
+
+// UsageQuery renews task leases and asks for a report.
+type UsageQuery struct {
+	Renew []Lease `json:"renew,omitempty"`
+}
+
+// Lease is the lease of one task on the wire.
+type Lease struct {
+	Attempt string `json:"attempt"`
+	// UntilMS is the end of the lease in milliseconds since the Unix epoch.
+	UntilMS int64 `json:"until_ms"`
+}
+
+// UsageReply is an executor's report.
+type UsageReply struct {
+	Executor string        `json:"executor"`
+	Instance string        `json:"instance"`
+	Slots    int           `json:"slots"`
+	Draining bool          `json:"draining,omitempty"`
+	Running  []RunningTask `json:"running,omitempty"`
+	Ended    []string      `json:"ended,omitempty"`
+}
+
+// RunningTask is one task of a report.
+type RunningTask struct {
+	Lease
+	RequestID string `json:"request_id"`
+	Team      string `json:"team"`
+}
+
+// FormatTime writes a time in the form of the task headers.
+func FormatTime(t time.Time) string {
+	return strconv.FormatInt(t.UnixMilli(), 10)
+}
+
+// ParseTime reads the form that FormatTime writes; the zero time stands for a
+// header that is absent or wrong.
+func ParseTime(h http.Header, name string) time.Time {
+	ms, err := strconv.ParseInt(h.Get(name), 10, 64)
+	if err != nil {
+		return time.Time{}
+	}
+	return time.UnixMilli(ms)
+}
+
+func (r *UsageReply) usage() (core.Usage, error) {
+	u := core.Usage{Executor: r.Executor, Instance: r.Instance, Slots: r.Slots, Draining: r.Draining}
+	for _, t := range r.Running {
+		id, err := core.ParseAttemptID(t.Attempt)
+		if err != nil {
+			return u, err
+		}
+		u.Running = append(u.Running, core.RunningTask{
+			Attempt: id, RequestID: t.RequestID, Team: t.Team, LeaseUntil: time.UnixMilli(t.UntilMS),
+		})
+	}
+	for _, s := range r.Ended {
+		id, err := core.ParseAttemptID(s)
+		if err != nil {
+			return u, err
+		}
+		u.Ended = append(u.Ended, id)
+	}
+	return u, nil
+}
--- /dev/null
+++ b/io/operator/doc.go
@@ -0,0 +1,2 @@
+// Package operator carries the operators' commands to the nodes.
+package operator
--- /dev/null
+++ b/io/peer/doc.go
@@ -0,0 +1,2 @@
+// Package peer carries the messages between nodes.
+package peer
--- /dev/null
+++ b/io/store/doc.go
@@ -0,0 +1,3 @@
+// Package store speaks to the platform's key-value service over HTTP with
+// JSON.
+package store
--- /dev/null
+++ b/node/follow.go
@@ -0,0 +1,144 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"jacinthwind/core"
+	"jacinthwind/core/config"
+	"jacinthwind/core/event"
+	"jacinthwind/core/membership"
+)
+
+// The messages about the store's content to the membership's actor.
+type (
+	membersChanged    struct{ members []membership.Member }
+	assignmentChanged struct{ assignment membership.Assignment }
+	viewChanged       struct{ view *config.View }
+)
+
+// watchTimeout is longer than any store lets a watch wait.
+const watchTimeout = 90 * time.Second
+
+// storeFollower keeps what the node knows of the store's content.
+type storeFollower struct {
+	node    *Node
+	config  config.Follower
+	members map[string]membership.Member
+	// revision is the store revision up to which everything is known.
+	revision int64
+}
+
+// followStore watches the store until ctx ends.
+func (n *Node) followStore(ctx context.Context) error {
+	f := &storeFollower{node: n, members: make(map[string]membership.Member)}
+	loaded := false
+	for ctx.Err() == nil {
+		err := f.next(ctx, loaded)
+		switch {
+		case err == nil:
+			loaded = true
+			n.storeSeen.Store(time.Now().UnixNano())
+		case errors.Is(err, core.ErrCompacted):
+			loaded = false
+		default:
+			sleepJitter(ctx, storeRetryWait)
+		}
+	}
+	return nil
+}
+
+// next reads the whole content or waits for changes.
+func (f *storeFollower) next(ctx context.Context, loaded bool) error {
+	if !loaded || f.config.HasGap() {
+		return f.load(ctx)
+	}
+	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+	defer cancel()
+	batch, err := f.node.store.Watch(ctx, keyRoot, f.revision)
+	if err != nil {
+		return err
+	}
+	f.take(batch.Events)
+	f.revision = batch.Revision
+	return nil
+}
+
+func (f *storeFollower) load(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
+	defer cancel()
+	listing, err := f.node.store.List(ctx, keyRoot)
+	if err != nil {
+		return err
+	}
+	if listing.Revision < f.revision {
+		return fmt.Errorf("store listing at revision %d, %d is known: %w", listing.Revision, f.revision, core.ErrUnavailable)
+	}
+	clear(f.members)
+	events := make([]core.StoreEvent, len(listing.Entries))
+	for i, e := range listing.Entries {
+		events[i] = core.StoreEvent{Entry: e}
+	}
+	f.take(events)
+	f.sendMembers()
+	// Where there is no record yet, the empty one is the one to start from; the
+	// kernel ignores it otherwise.
+	f.node.send(f.node.membership, &assignmentChanged{})
+	f.revision = listing.Revision
+	f.node.log.Event(event.ConfigReloaded, f.node.settings.Name, fmt.Sprintf("store revision %d", listing.Revision))
+	return nil
+}
+
+// take applies changes in the order of their revisions.
+func (f *storeFollower) take(events []core.StoreEvent) {
+	before := f.config.State().Revision
+	membersBefore := maps.Clone(f.members)
+	for _, ev := range events {
+		if err := f.takeOne(ev); err != nil {
+			f.node.log.Event(event.ConfigRefused, ev.Entry.Key, err.Error())
+		}
+	}
+	if !maps.Equal(membersBefore, f.members) {
+		f.sendMembers()
+	}
+	if f.config.State().Revision > before {
+		f.node.setView(f.config.State(), f.config.View())
+	}
+}
+
+func (f *storeFollower) takeOne(ev core.StoreEvent) error {
+	switch key := ev.Entry.Key; {
+	case isMemberKey(key) && ev.Deleted:
+		delete(f.members, key)
+	case isMemberKey(key):
+		var m membership.Member
+		if err := json.Unmarshal(ev.Entry.Value, &m); err != nil {
+			return fmt.Errorf("member record: %w", err)
+		}
+		f.members[key] = m
+	case key == keyAssignment && !ev.Deleted:
+		a, err := membership.DecodeAssignment(ev.Entry.Value, ev.Entry.Revision)
+		if err != nil {
+			return err
+		}
+		f.node.send(f.node.membership, &assignmentChanged{a})
+	case isChangeKey(key) && !ev.Deleted:
+		var c config.Change
+		if err := json.Unmarshal(ev.Entry.Value, &c); err != nil {
+			return fmt.Errorf("configuration change: %w", err)
+		}
+		_, err := f.config.Offer(&c)
+		return err
+	}
+	return nil
+}
+
+func (f *storeFollower) sendMembers() {
+	members := slices.Collect(maps.Values(f.members))
+	f.node.send(f.node.membership, &membersChanged{members})
+}
--- /dev/null
+++ b/node/key.go
@@ -0,0 +1,45 @@
+package node
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"jacinthwind/core/config"
+)
+
+// The keys of the system in the store.
+const (
+	keyRoot       = "jacinthwind/"
+	keyMembers    = keyRoot + "nodes/"
+	keyAssignment = keyRoot + "ownership/assignment"
+	keyChanges    = keyRoot + "config/log/"
+)
+
+// ChangeKey is the store key of a configuration change; equal lengths keep the
+// keys in the order of the revisions.
+func ChangeKey(revision int64) string {
+	return fmt.Sprintf("%s%012d", keyChanges, revision)
+}
+
+func isMemberKey(key string) bool {
+	return strings.HasPrefix(key, keyMembers)
+}
+
+func isChangeKey(key string) bool {
+	return strings.HasPrefix(key, keyChanges)
+}
+
+// FirstChange returns the change that puts a document in force in an empty
+// store.
+func FirstChange(doc *config.Document, author string) (*config.Change, error) {
+	ops, err := config.State{}.Diff(doc)
+	if err != nil {
+		return nil, err
+	}
+	return &config.Change{
+		ID: uuid.NewString(), Revision: 1, Author: author, Time: time.Now().UTC(), Operations: ops,
+	}, nil
+}
--- /dev/null
+++ b/node/log.go
@@ -0,0 +1,37 @@
+package node
+
+import (
+	"sync/atomic"
+
+	"go.uber.org/zap"
+
+	"jacinthwind/core/event"
+)
+
+// eventLog writes numbered events and counts the violated invariants.
+type eventLog struct {
+	zap        *zap.Logger
+	violations atomic.Int64
+}
+
+// Event writes one event.
+func (l *eventLog) Event(n event.Number, subject, detail string) {
+	fields := []zap.Field{zap.Int("event", int(n)), zap.String("subject", subject), zap.String("detail", detail)}
+	text := event.Catalogue[n]
+	switch {
+	case n.IsViolation():
+		l.violations.Add(1)
+		l.zap.Error(text, fields...)
+	case n == event.RequestFault || n == event.AttemptLost:
+		l.zap.Debug(text, fields...)
+	default:
+		l.zap.Info(text, fields...)
+	}
+}
+
+// Notes writes the events of a kernel's step.
+func (l *eventLog) Notes(notes []event.Note) {
+	for _, n := range notes {
+		l.Event(n.Number, n.Subject, n.Detail)
+	}
+}
--- /dev/null
+++ b/node/status.go
@@ -0,0 +1,98 @@
+package node
+
+import (
+	"context"
+	"maps"
+	"net/http"
+	"runtime"
+	"slices"
+	"sync"
+	"time"
+
+	"jacinthwind/core/limit"
+	"jacinthwind/core/scheduler"
+	"jacinthwind/io/operator"
+	"jacinthwind/io/peer"
+)
+
+// NodeStatus returns the status of this node.
+func (n *Node) NodeStatus() peer.NodeStatus {
+	d := n.directory()
+	s := peer.NodeStatus{
+		Name:       n.settings.Name,
+		ID:         d.self.ID,
+		DataCentre: n.settings.DataCentre,
+		Ready:      n.Ready(),
+		Leaving:    n.leaving.Load(),
+		Revision:   n.configState().Revision,
+		OwnedForMS: max(0, time.Until(d.ownedUntil).Milliseconds()),
+		Pools:      slices.Sorted(maps.Keys(d.pools)),
+		Teams:      slices.Sorted(maps.Keys(d.teams)),
+		Violations: n.Violations(),
+	}
+	if seen := n.storeSeen.Load(); seen > 0 {
+		s.StoreAgeMS = time.Since(time.Unix(0, seen)).Milliseconds()
+	}
+	return s
+}
+
+// Status asks all live nodes for their status.
+func (n *Node) Status(ctx context.Context) operator.StatusReply {
+	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
+	defer cancel()
+	d := n.directory()
+	ids := slices.Sorted(maps.Keys(d.members))
+	reply := operator.StatusReply{Nodes: make([]peer.NodeStatus, len(ids))}
+	var wg sync.WaitGroup
+	for i, id := range ids {
+		m := d.members[id]
+		wg.Go(func() {
+			if m.Address == n.settings.PeerAddress {
+				reply.Nodes[i] = n.NodeStatus()
+				return
+			}
+			status, err := n.peers.NodeStatus(ctx, m.Address)
+			if err != nil {
+				status = peer.NodeStatus{Name: m.Name, ID: id, DataCentre: m.DataCentre, Error: err.Error()}
+			}
+			reply.Nodes[i] = status
+		})
+	}
+	wg.Wait()
+	return reply
+}
+
+// Dump returns the whole state of this process.
+func (n *Node) Dump(ctx context.Context) operator.Dump {
+	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
+	defer cancel()
+	d := n.directory()
+	dump := operator.Dump{
+		Node: n.NodeStatus(), StartedAt: n.startedAt, Members: d.members, Assignment: d.assignment,
+		Memory: memoryInUse(),
+	}
+	for _, name := range slices.Sorted(maps.Keys(d.pools)) {
+		reply := make(chan scheduler.Dump, 1)
+		n.send(d.pools[name].pid, &poolDump{reply})
+		dump.Pools = append(dump.Pools, receive(ctx, reply))
+	}
+	for _, name := range slices.Sorted(maps.Keys(d.teams)) {
+		reply := make(chan *limit.State, 1)
+		n.send(d.teams[name].pid, &teamDump{reply})
+		if s := receive(ctx, reply); s != nil {
+			dump.Ledgers = append(dump.Ledgers, *s)
+		}
+	}
+	return dump
+}
+
+func memoryInUse() operator.Memory {
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return operator.Memory{Heap: m.HeapAlloc, System: m.Sys, Goroutines: runtime.NumGoroutine()}
+}
+
+// Metrics serves the node's metrics.
+func (n *Node) Metrics() http.Handler {
+	return n.metrics.reporter.HTTPHandler()
+}
--- /dev/null
+++ b/node/team.go
@@ -0,0 +1,75 @@
+package node
+
+import (
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+
+	"jacinthwind/core/config"
+	"jacinthwind/core/limit"
+)
+
+// The messages of a team's actor.
+type (
+	teamReport struct {
+		report limit.Report
+		reply  chan<- teamAnswer
+	}
+	teamAnswer struct {
+		answer limit.Answer
+		ok     bool
+	}
+	teamView struct {
+		view *config.View
+	}
+	// teamFreeze hands the ledger over and stops lending.
+	teamFreeze struct {
+		reply chan<- *limit.State
+	}
+	teamDump struct {
+		reply chan<- *limit.State
+	}
+)
+
+// teamActor hosts the ledger of one team's limit.
+type teamActor struct {
+	node   *Node
+	team   string
+	ledger *limit.Ledger
+	frozen bool
+}
+
+// Receive implements actor.Actor.
+func (t *teamActor) Receive(ctx actor.Context) {
+	switch m := ctx.Message().(type) {
+	case *teamReport:
+		t.report(m)
+	case *teamView:
+		team, _ := m.view.Team(t.team)
+		t.ledger.SetLimit(team.Limit, poolSlots(m.view))
+	case *teamFreeze:
+		t.frozen = true
+		m.reply <- t.ledger.State()
+	case *teamDump:
+		m.reply <- t.ledger.State()
+	}
+	t.node.log.Notes(t.ledger.TakeNotes())
+}
+
+func (t *teamActor) report(m *teamReport) {
+	if t.frozen || !time.Now().Before(t.node.ownedUntil()) {
+		m.reply <- teamAnswer{}
+		return
+	}
+	answer, ok := t.ledger.Report(time.Now(), m.report)
+	m.reply <- teamAnswer{answer, ok}
+}
+
+// poolSlots returns the number of slots of each pool.
+func poolSlots(v *config.View) map[string]int {
+	slots := make(map[string]int, len(v.Register.Pools))
+	for _, p := range v.Register.Pools {
+		slots[p.Name] = v.PoolSlots(p.Name)
+	}
+	return slots
+}
--- /dev/null
+++ b/standin/target/doc.go
@@ -0,0 +1,3 @@
+// Package target is a stand-in for the executors of a fleet. It runs tasks by
+// waiting, and records what started where for checks from outside.
+package target
