Keep a stopping node's parts running until its requests have ended

Cause: http.Server.Shutdown makes Serve return at once, which ended the run group and with it the calls to executors. Attempts that ended between the handover and the change of owner were not told to the next owner. Ruled out: the handover itself; the new owners were active within 0.1 s. Change: a server that shuts down waits for the node's end; the ends of attempts go to the next owner from the freeze on, repeated until it takes them.

--- a/io/peer/handler.go
+++ b/io/peer/handler.go
@@ -18,7 +18,7 @@
 	QueryLocal(ctx context.Context, q KeyQuery) Reply
 	LimitsLocal(ctx context.Context, q LimitsQuery) LimitsReply
 	HandoverLocal(ctx context.Context, q HandoverQuery) error
-	AttemptEndedLocal(ctx context.Context, q AttemptQuery)
+	AttemptEndedLocal(ctx context.Context, q AttemptQuery) error
 	// NodeStatus returns the status of this node.
 	NodeStatus() NodeStatus
 }
@@ -43,8 +43,7 @@
 		return Empty{}, s.HandoverLocal(ctx, q)
 	})
 	jsonhttp.Handle(mux, "POST "+PathAttemptEnded, func(ctx context.Context, q AttemptQuery) (Empty, error) {
-		s.AttemptEndedLocal(ctx, q)
-		return Empty{}, nil
+		return Empty{}, s.AttemptEndedLocal(ctx, q)
 	})
 	jsonhttp.Handle(mux, "POST "+PathNode, func(context.Context, Empty) (NodeStatus, error) {
 		return s.NodeStatus(), nil
--- a/node/membership.go
+++ b/node/membership.go
@@ -292,13 +292,14 @@
 }
 
 // AttemptEndedLocal gives the end of a predecessor's attempt to the pool.
-func (n *Node) AttemptEndedLocal(_ context.Context, q peer.AttemptQuery) {
+func (n *Node) AttemptEndedLocal(_ context.Context, q peer.AttemptQuery) error {
 	owned, ok := n.directory().pools[q.Attempt.Pool]
-	if !ok {
-		return
+	if !ok || owned.epoch <= q.Attempt.Epoch {
+		return fmt.Errorf("pool %s has no later owner here", q.Attempt.Pool)
 	}
 	// The answer itself went to the caller through the predecessor.
 	n.send(owned.pid, &scheduler.AttemptEnded{Attempt: q.Attempt, Result: core.AttemptResult{Status: q.Status}})
+	return nil
 }
 
 // writeAssignment writes the record; after a conflict or an unknown result it
--- a/node/node.go
+++ b/node/node.go
@@ -191,7 +191,14 @@
 func (n *Node) addServer(g *run.Group, l net.Listener, h http.Handler) {
 	server := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
 	n.servers = append(n.servers, server)
-	g.Add(func() error { return server.Serve(l) }, func(error) {
+	g.Add(func() error {
+		err := server.Serve(l)
+		if errors.Is(err, http.ErrServerClosed) {
+			// A server that shuts down gracefully leaves the others running.
+			<-n.ctx.Done()
+		}
+		return err
+	}, func(error) {
 		n.cancel()
 		// The connections have ended by now or are to be cut.
 		_ = server.Close()
--- a/node/pool.go
+++ b/node/pool.go
@@ -10,7 +10,6 @@
 
 	"jacinthwind/core"
 	"jacinthwind/core/event"
-	"jacinthwind/core/membership"
 	"jacinthwind/core/scheduler"
 	"jacinthwind/io/peer"
 )
@@ -47,6 +46,8 @@
 	kernel  *scheduler.Kernel
 	waiters map[scheduler.WaiterID]chan<- peer.Reply
 	last    scheduler.WaiterID
+	// frozen means that the state was handed over.
+	frozen bool
 	// retiredAt is when the ownership ended, zero while it lasts.
 	retiredAt time.Time
 	self      *actor.PID
@@ -85,6 +86,7 @@
 	case scheduler.Event:
 		p.step(m)
 	case *poolFreeze:
+		p.frozen = true
 		p.step(&scheduler.Freeze{})
 		m.reply <- p.kernel.Snapshot()
 	case *poolRetire:
@@ -186,21 +188,33 @@
 
 const executorCallTimeout = 2 * time.Second
 
+// forwardTimeout bounds the attempts to tell the next owner of an end; later
+// it learns of it from the executor's report.
+const forwardTimeout = 5 * time.Second
+
 // forward tells the next owner how an attempt of this one ended.
 func (p *poolActor) forward(ended *scheduler.AttemptEnded) {
-	if !p.isRetired() {
-		return
-	}
-	_, owner, ok := p.node.directory().owner(membership.Shard{Kind: membership.KindPool, Name: p.pool})
-	if !ok {
+	if !p.frozen && !p.isRetired() {
 		return
 	}
 	q := peer.AttemptQuery{Attempt: ended.Attempt, Status: ended.Result.Status}
 	p.node.spawn(func(ctx context.Context) {
-		ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
+		ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
 		defer cancel()
-		if err := p.node.peers.AttemptEnded(ctx, owner.Address, q); err != nil {
-			p.node.log.Event(event.RequestFault, ended.Attempt.String(), fmt.Sprintf("forward end of attempt: %v", err))
+		for !p.node.tellOwner(ctx, p.pool, q) {
+			if !sleepJitter(ctx, maxRouteWait) {
+				return
+			}
 		}
 	})
 }
+
+// tellOwner reports whether another node took the end of an attempt as the
+// present owner of the pool.
+func (n *Node) tellOwner(ctx context.Context, pool string, q peer.AttemptQuery) bool {
+	_, owner, ok := n.directory().owner(poolShard(pool))
+	if !ok || owner.Address == n.settings.PeerAddress {
+		return false
+	}
+	return n.peers.AttemptEnded(ctx, owner.Address, q) == nil
+}
