--- a/commands/commands.go
+++ b/commands/commands.go
@@ -35,6 +35,17 @@
 type cli struct {
 	Demo  demoCommand  `cmd:"" help:"Run the whole system in one process against stand-ins and count which promises held."`
 	Serve serveCommand `cmd:"" help:"Run one entry node."`
+
+	Config configCommand `cmd:"" help:"Check, apply and read the register and the rules."`
+	Zone   zoneCommand   `cmd:"" help:"Take data centres out of service and bring them back."`
+	Key    keyCommand    `cmd:"" help:"Grant and withdraw the teams' keys."`
+	Pool   poolCommand   `cmd:"" help:"Look at pools."`
+	Team   teamCommand   `cmd:"" help:"Look at teams."`
+	Status statusCommand `cmd:"" help:"Show every node with the revision that it has in force."`
+	Dump   dumpCommand   `cmd:"" help:"Print the whole state of one node as JSON."`
+	Submit submitCommand `cmd:"" help:"Hand in a request as a caller."`
+
+	StandIn standInCommand `cmd:"" name:"stand-in" help:"Run stand-ins for trying the daemon on one machine."`
 }
 
 // streams are the standard streams of a command.
--- /dev/null
+++ b/commands/list.go
@@ -0,0 +1,154 @@
+package commands
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"github.com/jedib0t/go-pretty/v6/table"
+
+	"jacinthwind/core/config"
+)
+
+type poolCommand struct {
+	List poolList `cmd:"" help:"List the pools with their VMs and slots."`
+}
+
+type poolList struct {
+	nodeFlags
+}
+
+// poolLine is one pool of the list.
+type poolLine struct {
+	Pool      string   `json:"pool"`
+	Spare     bool     `json:"spare"`
+	Queues    []string `json:"queues"`
+	VMs       int      `json:"vms"`
+	InService int      `json:"in_service"`
+	Slots     int      `json:"slots"`
+}
+
+// Run implements the command.
+func (c *poolList) Run(ctx context.Context, s *streams) error {
+	reply, err := c.client().Config(ctx)
+	if err != nil {
+		return err
+	}
+	lines := poolLines(&reply.Document)
+	if c.JSON {
+		return printJSON(s.out, lines)
+	}
+	t := newTable(s.out, "pool", "spare", "queues", "VMs", "in service", "slots in service")
+	for _, l := range lines {
+		t.AppendRow(table.Row{l.Pool, l.Spare, strings.Join(l.Queues, " "), l.VMs, l.InService, l.Slots})
+	}
+	t.Render()
+	return nil
+}
+
+func poolLines(doc *config.Document) []poolLine {
+	out := make(map[string]bool)
+	for _, name := range doc.Rules.DataCentresOut {
+		out[name] = true
+	}
+	lines := make([]poolLine, 0, len(doc.Register.Pools))
+	for _, p := range doc.Register.Pools {
+		l := poolLine{Pool: p.Name, Spare: p.Spare}
+		for _, q := range doc.Register.Queues {
+			if q.Pool == p.Name {
+				l.Queues = append(l.Queues, q.Name)
+			}
+		}
+		for _, vm := range doc.Register.VMs {
+			if vm.Pool != p.Name {
+				continue
+			}
+			l.VMs++
+			if !vm.Leaving && !out[vm.DataCentre] {
+				l.InService++
+				l.Slots += vm.Executor.Slots
+			}
+		}
+		lines = append(lines, l)
+	}
+	return lines
+}
+
+type teamCommand struct {
+	List teamList `cmd:"" help:"List the teams with their shares, limits and keys."`
+}
+
+type teamList struct {
+	nodeFlags
+}
+
+// teamLine is one team of the list.
+type teamLine struct {
+	config.Team
+	Keys []string `json:"keys"`
+}
+
+// Run implements the command.
+func (c *teamList) Run(ctx context.Context, s *streams) error {
+	reply, err := c.client().Config(ctx)
+	if err != nil {
+		return err
+	}
+	lines := make([]teamLine, 0, len(reply.Document.Register.Teams))
+	for _, team := range reply.Document.Register.Teams {
+		l := teamLine{Team: team, Keys: []string{}}
+		for _, k := range reply.Document.Register.Keys {
+			if k.Team == team.Name {
+				l.Keys = append(l.Keys, k.Name)
+			}
+		}
+		lines = append(lines, l)
+	}
+	if c.JSON {
+		return printJSON(s.out, lines)
+	}
+	t := newTable(s.out, "team", "share", "limit", "keys")
+	for _, l := range lines {
+		t.AppendRow(table.Row{l.Name, l.Share, l.Limit, strings.Join(l.Keys, " ")})
+	}
+	t.Render()
+	return nil
+}
+
+type statusCommand struct {
+	nodeFlags
+}
+
+// Run implements the command.
+func (c *statusCommand) Run(ctx context.Context, s *streams) error {
+	reply, err := c.client().Status(ctx)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return printJSON(s.out, reply)
+	}
+	t := newTable(s.out, "node", "data centre", "ready", "revision", "store heard", "owns for", "pools", "teams", "violations", "error")
+	for _, n := range reply.Nodes {
+		t.AppendRow(table.Row{
+			n.Name, n.DataCentre, n.Ready, n.Revision,
+			fmt.Sprintf("%.1f s ago", float64(n.StoreAgeMS)/1000), fmt.Sprintf("%.1f s", float64(n.OwnedForMS)/1000),
+			strings.Join(n.Pools, " "), strings.Join(n.Teams, " "), n.Violations, n.Error,
+		})
+	}
+	t.Render()
+	return nil
+}
+
+type dumpCommand struct {
+	nodeFlags
+}
+
+// Run implements the command.
+func (c *dumpCommand) Run(ctx context.Context, s *streams) error {
+	dump, err := c.client().Dump(ctx)
+	if err != nil {
+		return err
+	}
+	return printJSON(s.out, dump)
+}
--- a/core/config/change.go
+++ b/core/config/change.go
@@ -76,7 +76,7 @@
 
 // Diff returns the operations that turn s into the document.
 func (s State) Diff(doc *Document) ([]Operation, error) {
-	want, err := documentEntries(doc)
+	want, err := FromDocument(doc)
 	if err != nil {
 		return nil, err
 	}
--- a/core/config/document.go
+++ b/core/config/document.go
@@ -6,6 +6,22 @@
 	Rules    Rules    `json:"rules"`
 }
 
+// Merge adds the entries of other; its scheduling rules replace those of d
+// where it has any.
+func (d *Document) Merge(other *Document) {
+	r, o := &d.Register, &other.Register
+	r.DataCentres = append(r.DataCentres, o.DataCentres...)
+	r.Pools = append(r.Pools, o.Pools...)
+	r.Queues = append(r.Queues, o.Queues...)
+	r.VMs = append(r.VMs, o.VMs...)
+	r.Teams = append(r.Teams, o.Teams...)
+	r.Keys = append(r.Keys, o.Keys...)
+	d.Rules.DataCentresOut = append(d.Rules.DataCentresOut, other.Rules.DataCentresOut...)
+	if other.Rules.Scheduling != (Scheduling{}) {
+		d.Rules.Scheduling = other.Rules.Scheduling
+	}
+}
+
 // Register lists what exists.
 type Register struct {
 	DataCentres []DataCentre `json:"data_centres,omitempty"`
--- a/core/config/entries.go
+++ b/core/config/entries.go
@@ -13,8 +13,8 @@
 	})
 }
 
-// documentEntries splits a document into entries.
-func documentEntries(doc *Document) (State, error) {
+// FromDocument splits a document into entries.
+func FromDocument(doc *Document) (State, error) {
 	e := encoder{entries: make(map[entryKey]json.RawMessage)}
 	r := &doc.Register
 	for _, v := range r.DataCentres {
--- a/core/scheduler/attempt.go
+++ b/core/scheduler/attempt.go
@@ -133,6 +133,8 @@
 	switch {
 	case t.cancelled:
 		k.settleUnstarted(t, core.ReasonCancelled)
+	case k.frozen || t.isAdopted():
+		k.bounce(t)
 	case t.attempts >= maxRefusals:
 		k.settleUnstarted(t, core.ReasonAttemptsSpent)
 	default:
@@ -151,6 +153,8 @@
 	switch {
 	case t.cancelled:
 		k.settleUnstarted(t, core.ReasonCancelledRunning)
+	case k.frozen && t.req.Idempotent:
+		k.bounce(t)
 	case !t.req.Idempotent:
 		k.settleUnstarted(t, core.ReasonAttemptLost)
 	case t.attempts >= k.view.Scheduling.MaxAttempts || k.retryBudget < 1:
@@ -165,10 +169,6 @@
 // backOff lets t wait for a random time before it is queued again, after
 // "Exponential Backoff And Jitter" (Brooker, 2015), full jitter.
 func (k *Kernel) backOff(t *task) {
-	if k.frozen {
-		k.bounce(t)
-		return
-	}
 	ceiling := min(retryBase<<min(t.attempts, maxRefusals), retryCap)
 	t.state = stateBackoff
 	t.retryAt = k.now.Add(time.Duration(k.rand.Int64N(int64(ceiling))))
--- a/core/scheduler/dispatch.go
+++ b/core/scheduler/dispatch.go
@@ -10,7 +10,7 @@
 
 // dispatch starts waiting requests until no slot or no entitled team is left.
 func (k *Kernel) dispatch() {
-	if k.frozen || k.ownershipOver() {
+	if k.frozen {
 		return
 	}
 	for k.dispatchOne() {
--- a/core/scheduler/escrow.go
+++ b/core/scheduler/escrow.go
@@ -105,6 +105,10 @@
 
 // exchange reports to the team's home and commits the pool to what it reports.
 func (k *Kernel) exchange(t *team) {
+	// After the handover the next owner speaks for the pool.
+	if k.frozen {
+		return
+	}
 	e := &t.escrow
 	if !e.known && k.settled {
 		e.known = true
--- a/core/scheduler/kernel.go
+++ b/core/scheduler/kernel.go
@@ -32,7 +32,7 @@
 
 // Defaults of Settings.
 const (
-	DefaultStartWindow    = time.Second
+	DefaultStartWindow    = 500 * time.Millisecond
 	DefaultTaskLease      = 10 * time.Second
 	DefaultUsageInterval  = 4 * time.Second
 	DefaultClockSkew      = 250 * time.Millisecond
@@ -184,19 +184,19 @@
 	inherited := a.State != nil || a.First
 	if !inherited {
 		k.fence = k.now.Add(2 * k.settings.ClockSkew)
-		// The last start of the predecessor is bounded by its ownership.
-		k.provedAfter = k.now.Add(2 * k.settings.ClockSkew)
+		// The predecessor's own starts end with its ownership, but those of an
+		// owner that handed over to it may arrive until their start-by time.
+		k.provedAfter = k.now.Add(k.settings.StartWindow + 2*k.settings.ClockSkew)
 	}
 	k.setView(a.View)
 	for _, e := range k.executors {
 		e.proved = inherited
 		e.doubtful = !inherited
 	}
-	k.settled = inherited
-	k.countDoubt()
 	if a.State != nil {
 		k.adopt(a.State)
 	}
+	k.countDoubt()
 	k.note(event.PoolActivated, k.pool, fmt.Sprintf("epoch %d, inherited %t", k.epoch, inherited))
 }
 
@@ -206,6 +206,14 @@
 	if now.After(k.now) {
 		k.now = now
 	}
+	if tick, ok := ev.(*Tick); ok {
+		k.ownedUntil = tick.OwnedUntil
+	}
+	// An owner that was paused past the end of its ownership no longer knows
+	// what a refusal would have to say about requests that went elsewhere.
+	if !k.frozen && k.ownershipOver() {
+		k.freeze()
+	}
 	switch ev := ev.(type) {
 	case *Submit:
 		k.submit(ev)
@@ -228,7 +236,6 @@
 	case *Freeze:
 		k.freeze()
 	case *Tick:
-		k.ownedUntil = ev.OwnedUntil
 		k.tick()
 	}
 	k.dispatch()
--- a/core/scheduler/settle.go
+++ b/core/scheduler/settle.go
@@ -1,8 +1,6 @@
 package scheduler
 
 import (
-	"time"
-
 	"jacinthwind/core"
 	"jacinthwind/core/event"
 )
@@ -19,6 +17,9 @@
 
 // settle gives the result to all waiters and keeps the record.
 func (k *Kernel) settle(t *task, r core.Result) {
+	if t.mayHaveRun && r.Outcome == core.NotRun {
+		r = core.Result{Outcome: core.Unknown, Reason: r.Reason}
+	}
 	k.assertNotRun(t, r)
 	k.count(r.Outcome)
 	k.deadlines.drop(t)
@@ -55,7 +56,7 @@
 // keep remembers a settled task for repeated requests: a refusal as long as a
 // delayed copy may arrive, anything else for the whole window.
 func (k *Kernel) keep(t *task) {
-	window := time.Duration(k.view.Scheduling.IDWindowS)*time.Second + 2*k.settings.ClockSkew
+	window := k.idWindow() + 2*k.settings.ClockSkew
 	if t.result.Outcome == core.NotRun {
 		window = k.settings.ForwardWindow + 2*k.settings.ClockSkew
 	}
--- a/core/scheduler/state.go
+++ b/core/scheduler/state.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"jacinthwind/core"
@@ -9,13 +10,19 @@
 
 // State is what an owner hands over to the next one.
 type State struct {
-	Pool    string        `json:"pool"`
-	Epoch   uint64        `json:"epoch"`
-	Fence   time.Time     `json:"fence"`
-	Tasks   []TaskState   `json:"tasks,omitempty"`
-	Running []RunState    `json:"running,omitempty"`
-	Escrows []EscrowState `json:"escrows,omitempty"`
-	Charges []ChargeState `json:"charges,omitempty"`
+	Pool  string    `json:"pool"`
+	Epoch uint64    `json:"epoch"`
+	Fence time.Time `json:"fence"`
+	// ProvedAfter is when no task of a vanished owner can start any more.
+	ProvedAfter time.Time `json:"proved_after"`
+	// Doubtful names the executors on which such tasks may run, Unproved those
+	// whose running tasks are not known.
+	Doubtful []string      `json:"doubtful,omitempty"`
+	Unproved []string      `json:"unproved,omitempty"`
+	Tasks    []TaskState   `json:"tasks,omitempty"`
+	Running  []RunState    `json:"running,omitempty"`
+	Escrows  []EscrowState `json:"escrows,omitempty"`
+	Charges  []ChargeState `json:"charges,omitempty"`
 }
 
 // TaskState is the record of one request.
@@ -26,6 +33,11 @@
 	SettledAt time.Time   `json:"settled_at"`
 	ExpireAt  time.Time   `json:"expire_at"`
 	Deadline  time.Time   `json:"deadline"`
+	Cancelled bool        `json:"cancelled,omitempty"`
+	// Unproved counts earlier attempts that may have started.
+	Unproved int `json:"unproved,omitempty"`
+	// MayHaveRun means that a copy may have run without leaving a record.
+	MayHaveRun bool `json:"may_have_run,omitempty"`
 	// Attempt is the attempt in progress of a pending request.
 	Attempt core.AttemptID `json:"attempt"`
 }
@@ -98,7 +110,15 @@
 
 // Snapshot returns the state to hand over after Freeze.
 func (k *Kernel) Snapshot() *State {
-	s := &State{Pool: k.pool, Epoch: k.epoch, Fence: k.fence}
+	s := &State{Pool: k.pool, Epoch: k.epoch, Fence: k.fence, ProvedAfter: k.provedAfter}
+	for _, e := range k.executors {
+		if e.doubtful {
+			s.Doubtful = append(s.Doubtful, e.Name)
+		}
+		if !e.proved {
+			s.Unproved = append(s.Unproved, e.Name)
+		}
+	}
 	for _, t := range k.tasks {
 		s.Tasks = append(s.Tasks, taskState(t))
 	}
@@ -119,12 +139,15 @@
 
 func taskState(t *task) TaskState {
 	s := TaskState{
-		Key:       t.key,
-		Outcome:   t.result.Outcome.String(),
-		Reason:    t.result.Reason,
-		SettledAt: t.settledAt,
-		ExpireAt:  t.expireAt,
-		Deadline:  t.deadline,
+		Key:        t.key,
+		Outcome:    t.result.Outcome.String(),
+		Reason:     t.result.Reason,
+		SettledAt:  t.settledAt,
+		ExpireAt:   t.expireAt,
+		Deadline:   t.deadline,
+		Cancelled:  t.cancelled,
+		Unproved:   t.unproved,
+		MayHaveRun: t.mayHaveRun,
 	}
 	if t.current != nil {
 		s.Attempt = t.current.id
@@ -136,6 +159,11 @@
 // are counted and their results come through AttemptEnded.
 func (k *Kernel) adopt(s *State) {
 	k.fence = s.Fence
+	k.provedAfter = s.ProvedAfter
+	for _, e := range k.executors {
+		e.doubtful = slices.Contains(s.Doubtful, e.Name)
+		e.proved = !slices.Contains(s.Unproved, e.Name)
+	}
 	for _, c := range s.Charges {
 		tm := k.team(c.Team)
 		tm.VirtualTime = c.VirtualTime
@@ -186,6 +214,9 @@
 	}
 	t.state = stateRunning
 	t.attempts = 1
+	t.cancelled = s.Cancelled
+	t.unproved = s.Unproved
+	t.mayHaveRun = s.MayHaveRun
 	// The request itself stays with the predecessor, so a lost attempt settles
 	// as unknown and is not tried again here.
 	t.req = &core.Request{ID: s.Key.ID, Queue: s.Key.Queue, Team: s.Key.Team, Deadline: s.Deadline}
--- a/core/scheduler/submit.go
+++ b/core/scheduler/submit.go
@@ -100,7 +100,6 @@
 // owner ran it and no record of it was forgotten.
 func (k *Kernel) admitID(r *core.Request) (core.Result, bool) {
 	skew := k.settings.ClockSkew
-	window := time.Duration(k.view.Scheduling.IDWindowS) * time.Second
 	switch {
 	case r.IssuedAt.IsZero():
 		return refusal(core.ReasonBadID), false
@@ -108,7 +107,7 @@
 		return core.Result{Outcome: core.NotRun, Reason: core.ReasonIDFromFuture, RetryAfter: r.IssuedAt.Sub(k.now)}, false
 	case r.IssuedAt.Before(k.fence):
 		return core.Result{Outcome: core.Unknown, Reason: core.ReasonIDBeforeTakeover}, false
-	case r.IssuedAt.Before(k.now.Add(-window)):
+	case r.IssuedAt.Before(k.now.Add(-k.idWindow())):
 		return core.Result{Outcome: core.Unknown, Reason: core.ReasonIDExpired}, false
 	}
 	return core.Result{}, true
@@ -160,6 +159,22 @@
 	k.reply(ev.Waiter, result, true)
 }
 
+// mayHaveRun reports whether an earlier copy of the request may have run
+// without leaving a record: under a vanished owner, or before the time for
+// which records are kept.
+func (k *Kernel) mayHaveRun(r *core.Request) bool {
+	window := k.idWindow()
+	if r.IssuedAt.IsZero() {
+		return !k.fence.IsZero() && k.now.Before(k.fence.Add(window))
+	}
+	return r.IssuedAt.Before(k.fence) || r.IssuedAt.Before(k.now.Add(-window))
+}
+
+// idWindow is the time for which settled requests are remembered.
+func (k *Kernel) idWindow() time.Duration {
+	return time.Duration(k.view.Scheduling.IDWindowS) * time.Second
+}
+
 func (k *Kernel) newTask(ev *Submit) *task {
 	t := &task{
 		key:           keyOf(ev.Request),
@@ -168,6 +183,7 @@
 		arrived:       k.now,
 		deadline:      ev.Request.Deadline,
 		waiters:       []WaiterID{ev.Waiter},
+		mayHaveRun:    k.mayHaveRun(ev.Request),
 		deadlineIndex: -1,
 		retryIndex:    -1,
 		expireIndex:   -1,
@@ -247,7 +263,7 @@
 func (k *Kernel) cancel(ev *Cancel) {
 	t, ok := k.tasks[ev.Key]
 	if !ok {
-		k.reply(ev.Waiter, k.missing(), true)
+		k.reply(ev.Waiter, k.missing(), !k.frozen)
 		return
 	}
 	switch t.state {
@@ -268,7 +284,7 @@
 func (k *Kernel) query(ev *Query) {
 	t, ok := k.tasks[ev.Key]
 	if !ok {
-		k.reply(ev.Waiter, k.missing(), true)
+		k.reply(ev.Waiter, k.missing(), !k.frozen)
 		return
 	}
 	k.reply(ev.Waiter, k.state(t), true)
--- a/core/scheduler/task.go
+++ b/core/scheduler/task.go
@@ -45,6 +45,9 @@
 	current   *attempt
 	lastTried *executor
 	cancelled bool
+	// mayHaveRun means that an earlier copy of the request may have run under
+	// a record that is gone.
+	mayHaveRun bool
 
 	result    core.Result
 	settledAt time.Time
@@ -59,6 +62,12 @@
 	expireIndex   int
 }
 
+// isAdopted reports whether the request itself stayed with the predecessor, so
+// that the task cannot be sent from here.
+func (t *task) isAdopted() bool {
+	return t.req.Payload == nil
+}
+
 // taskList is a doubly linked list, so that a cancellation takes constant time.
 type taskList struct {
 	head, tail *task
--- a/core/scheduler/usage.go
+++ b/core/scheduler/usage.go
@@ -150,9 +150,7 @@
 			doubt += e.capacity()
 		}
 	}
-	if doubt == 0 && !k.now.Before(k.provedAfter) {
-		k.settled = true
-	}
+	k.settled = doubt == 0 && !k.now.Before(k.provedAfter)
 	k.doubt = doubt
 	for _, t := range k.sortedTeams() {
 		t.doubt = doubt
