Keep a late list of nodes from deposing an owner that joined since

Cause: a node that read the assignment after losing a write, but whose list of members was older, took an owner that had joined in between for gone and gave its pools away: two owners at once. A new home of a team lent by the slots of pools it had not heard of, which can be less than what they hold. A handover that had not frozen the pool was treated like one that had. Change: members carry the store revision they are known at, and an assignment is proposed only from a list at least as new; a failed write is repeated only after 0.3 s; a new home lends nothing until every pool has reported; a handover says whether the shard was frozen.

--- a/core/config/decode.go
+++ b/core/config/decode.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"strconv"
 	"strings"
 	"sync"
@@ -65,12 +66,19 @@
 func syntaxFinding(file string, data []byte, err error) Finding {
 	place := "$"
 	var syntax *json.SyntaxError
-	if errors.As(err, &syntax) {
-		place = fmt.Sprintf("line %d", 1+bytes.Count(data[:min(int(syntax.Offset), len(data))], []byte("\n")))
+	switch {
+	case errors.As(err, &syntax):
+		place = lineAt(data, int(syntax.Offset))
+	case errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, io.EOF):
+		place = lineAt(data, len(data))
 	}
 	return Finding{File: file, Path: place, Reason: "not valid JSON: " + err.Error()}
 }
 
+func lineAt(data []byte, offset int) string {
+	return fmt.Sprintf("line %d", 1+bytes.Count(data[:min(offset, len(data))], []byte("\n")))
+}
+
 func schemaFindings(file string, err error) Findings {
 	var invalid *jsonschema.ValidationError
 	if !errors.As(err, &invalid) {
--- a/core/limit/ledger.go
+++ b/core/limit/ledger.go
@@ -59,8 +59,8 @@
 	Team  string
 	Epoch uint64
 	Limit int
-	// Slots is the number of slots of each pool.
-	Slots map[string]int
+	// Pools names the pools of the configuration.
+	Pools []string
 	// State is the predecessor's hand-over, nil where it vanished.
 	State *State
 	// First is set when the team never had a home.
@@ -72,7 +72,6 @@
 	team  string
 	epoch uint64
 	limit int
-	slots map[string]int
 	loans map[string]*Loan
 	// inherited means that pools without a loan hold nothing.
 	inherited bool
@@ -92,16 +91,15 @@
 			l.loans[loan.Pool] = &loan
 		}
 	}
-	l.SetLimit(a.Limit, a.Slots)
+	l.SetLimit(a.Limit, a.Pools)
 	l.note(event.TeamActivated, fmt.Sprintf("epoch %d, inherited %t", a.Epoch, l.inherited))
 	return l
 }
 
 // SetLimit puts another limit and other pools in force.
-func (l *Ledger) SetLimit(limit int, slots map[string]int) {
+func (l *Ledger) SetLimit(limit int, pools []string) {
 	l.limit = limit
-	l.slots = slots
-	for pool := range slots {
+	for _, pool := range pools {
 		if _, ok := l.loans[pool]; !ok {
 			// A pool that appears after the recovery cannot hold anything.
 			l.loans[pool] = &Loan{Pool: pool, Known: l.inherited}
@@ -175,12 +173,13 @@
 	return sum
 }
 
-// bound is the largest number that a pool may hold.
+// bound is the largest number that a pool may hold. A pool that has not
+// reported to a new home may hold the whole limit.
 func (l *Ledger) bound(loan *Loan) int {
 	if loan.Known {
 		return loan.Granted
 	}
-	return min(l.limit, l.slots[loan.Pool])
+	return l.limit
 }
 
 func (l *Ledger) demand(now time.Time, loan *Loan) int {
--- /dev/null
+++ b/core/limit/ledger_test.go
@@ -0,0 +1,92 @@
+package limit_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"jacinthwind/core/limit"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func newLedger(limitOf int, pools ...string) *limit.Ledger {
+	return limit.New(limit.Activation{Team: "a", Epoch: 1, Limit: limitOf, Pools: pools, First: true})
+}
+
+func TestLedgerLendsWithinTheLimit(t *testing.T) {
+	l := newLedger(10, "p", "q")
+	a, ok := l.Report(start, limit.Report{Pool: "p", PoolEpoch: 1, Seq: 1, Want: 8})
+	require.True(t, ok)
+	require.Equal(t, 8, a.Granted)
+	a, _ = l.Report(start, limit.Report{Pool: "q", PoolEpoch: 1, Seq: 1, Want: 8})
+	require.Equal(t, 2, a.Granted)
+	require.Equal(t, 5, a.Target)
+	a, _ = l.Report(start, limit.Report{Pool: "p", PoolEpoch: 1, Seq: 2, Held: 8, Want: 4})
+	require.Equal(t, 8, a.Granted)
+	require.Equal(t, 5, a.Target, "a contended limit is divided evenly")
+	l.Report(start, limit.Report{Pool: "p", PoolEpoch: 1, Seq: 3, Held: 5, Want: 4})
+	a, _ = l.Report(start, limit.Report{Pool: "q", PoolEpoch: 1, Seq: 2, Held: 2, Want: 6})
+	require.Equal(t, 5, a.Granted)
+}
+
+func TestLedgerIgnoresOvertakenReports(t *testing.T) {
+	l := newLedger(10, "p")
+	l.Report(start, limit.Report{Pool: "p", PoolEpoch: 2, Seq: 5, Want: 3})
+	for _, r := range []limit.Report{
+		{Pool: "p", PoolEpoch: 2, Seq: 5, Held: 0},
+		{Pool: "p", PoolEpoch: 2, Seq: 4, Held: 0},
+		{Pool: "p", PoolEpoch: 1, Seq: 9, Held: 0},
+	} {
+		_, ok := l.Report(start, r)
+		require.False(t, ok, "%+v", r)
+	}
+	a, _ := l.Report(start, limit.Report{Pool: "p", PoolEpoch: 3, Seq: 1, Held: -1})
+	require.Equal(t, 3, a.Granted, "a new owner learns what its pool holds")
+}
+
+func TestNewHomeWaitsForThePools(t *testing.T) {
+	l := limit.New(limit.Activation{Team: "a", Epoch: 2, Limit: 10, Pools: []string{"p", "q"}})
+	a, _ := l.Report(start, limit.Report{Pool: "p", PoolEpoch: 1, Seq: 1, Held: 4, Want: 4})
+	require.Equal(t, 4, a.Granted, "q may hold the whole rest")
+	a, _ = l.Report(start, limit.Report{Pool: "q", PoolEpoch: 1, Seq: 1, Held: -1})
+	require.True(t, a.Unknown)
+	l.Report(start, limit.Report{Pool: "q", PoolEpoch: 1, Seq: 2, Held: 1})
+	a, _ = l.Report(start, limit.Report{Pool: "p", PoolEpoch: 1, Seq: 2, Held: 4, Want: 4})
+	require.Equal(t, 8, a.Granted)
+}
+
+// TestLoansNeverExceedTheLimit drives a ledger with pools whose messages get
+// lost, and with homes that vanish.
+func TestLoansNeverExceedTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const limitOf = 10
+		pools := []string{"p", "q", "r"}
+		l := limit.New(limit.Activation{Team: "a", Epoch: 1, Limit: limitOf, Pools: pools, First: true})
+		held := map[string]int{}
+		seq := map[string]uint64{}
+		now := start
+		for range rapid.IntRange(10, 200).Draw(t, "length") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond)
+			if rapid.IntRange(0, 19).Draw(t, "home vanishes") == 0 {
+				l = limit.New(limit.Activation{Team: "a", Epoch: 2, Limit: limitOf, Pools: pools})
+			}
+			p := rapid.SampledFrom(pools).Draw(t, "pool")
+			held[p] = rapid.IntRange(0, held[p]).Draw(t, "held")
+			seq[p]++
+			a, ok := l.Report(now, limit.Report{
+				Pool: p, PoolEpoch: 1, Seq: seq[p], Held: held[p], Want: rapid.IntRange(0, 8).Draw(t, "want"),
+			})
+			require.True(t, ok)
+			if !rapid.Bool().Draw(t, "answer lost") {
+				held[p] = a.Granted
+			}
+			require.LessOrEqual(t, held["p"]+held["q"]+held["r"], limitOf)
+			for _, n := range l.TakeNotes() {
+				require.False(t, n.Number.IsViolation(), n.String())
+			}
+		}
+	})
+}
--- a/core/membership/kernel.go
+++ b/core/membership/kernel.go
@@ -19,6 +19,8 @@
 	// writeTimeout is how long the result of a write is awaited before the
 	// record is read again.
 	writeTimeout = 2 * time.Second
+	// writeRetryWait is the time between a write that failed and the next one.
+	writeRetryWait = 300 * time.Millisecond
 	// DefaultSettleTime is how long a member must have been listed before
 	// shards are moved to it.
 	DefaultSettleTime = 5 * time.Second
@@ -67,11 +69,13 @@
 	self       Member
 	leaseUntil time.Time
 	members    map[string]Member
-	joinedAt   map[string]time.Time
-	assignment Assignment
-	loaded     bool
-	shards     []Shard
-	leaving    bool
+	// membersRevision is the store revision at which members is known.
+	membersRevision int64
+	joinedAt        map[string]time.Time
+	assignment      Assignment
+	loaded          bool
+	shards          []Shard
+	leaving         bool
 
 	active map[Shard]uint64
 	// handing holds the handovers in progress; sent is true once the next
@@ -81,7 +85,9 @@
 	wantedAt time.Time
 	writing  bool
 	writeAt  time.Time
-	movedAt  time.Time
+	// writeAfter keeps a node from writing again before it has read the record.
+	writeAfter time.Time
+	movedAt    time.Time
 
 	effects Effects
 }
@@ -118,9 +124,14 @@
 	return k.decide()
 }
 
-// MembersChanged takes the nodes that hold a lease in the store.
-func (k *Kernel) MembersChanged(now time.Time, members []Member) *Effects {
+// MembersChanged takes the nodes that hold a lease at a revision of the store;
+// an older list is ignored.
+func (k *Kernel) MembersChanged(now time.Time, members []Member, revision int64) *Effects {
 	k.begin(now)
+	if revision < k.membersRevision {
+		return k.decide()
+	}
+	k.membersRevision = revision
 	joined := make(map[string]time.Time, len(members))
 	k.members = make(map[string]Member, len(members))
 	for _, m := range members {
@@ -161,30 +172,45 @@
 	k.begin(now)
 	k.writing = false
 	k.wantedAt = time.Time{}
+	k.writeAfter = k.now.Add(writeRetryWait)
 	k.note(event.AssignmentLost, k.self.ID, "")
 	return k.decide()
 }
 
-// HandoverSent tells whether the next owner has the state of a shard.
-func (k *Kernel) HandoverSent(now time.Time, s Shard, ok bool) *Effects {
+// HandoverResult says how far a handover came.
+type HandoverResult uint8
+
+// The results of a handover.
+const (
+	// HandoverNotFrozen means that the shard may still be acted upon here.
+	HandoverNotFrozen HandoverResult = iota
+	// HandoverLost means that the shard is frozen and the next owner has to
+	// recover without its state.
+	HandoverLost
+	// HandoverDone means that the next owner has the state.
+	HandoverDone
+)
+
+// HandoverEnded tells how far the handover of a shard came.
+func (k *Kernel) HandoverEnded(now time.Time, s Shard, result HandoverResult) *Effects {
 	k.begin(now)
 	h, found := k.handing[s]
 	if !found {
 		return k.decide()
 	}
-	if !ok {
+	if result != HandoverDone {
 		k.note(event.HandoverFailed, s.String(), h.To.ID)
 	}
-	h.sent = true
-	h.failed(ok)
-	return k.decide()
-}
-
-// failed lets the next owner recover where it did not get the state.
-func (h *handing) failed(ok bool) {
-	if !ok {
+	switch result {
+	case HandoverNotFrozen:
+		delete(k.handing, s)
+	case HandoverLost:
+		h.sent = true
 		h.To = Member{}
+	case HandoverDone:
+		h.sent = true
 	}
+	return k.decide()
 }
 
 // Leave hands over everything that this node owns.
@@ -361,6 +387,10 @@
 		}
 		k.writing = false
 	}
+	// A list from before the record was written may lack its owners.
+	if k.now.Before(k.writeAfter) || k.membersRevision < k.assignment.Revision {
+		return
+	}
 	next, changed, urgent := k.nextAssignment()
 	if !changed {
 		k.wantedAt = time.Time{}
--- a/core/scheduler/dispatch.go
+++ b/core/scheduler/dispatch.go
@@ -62,13 +62,22 @@
 		if !e.isEligible(t, k.now) {
 			continue
 		}
-		if best == nil || k.place.Better(&e.ExecutorLoad, &best.ExecutorLoad, tried) {
+		if best == nil || k.isBetter(e, best, tried) {
 			best = e
 		}
 	}
 	return best
 }
 
+// isBetter reports whether a task should rather start on a than on b. An
+// executor that has failed lately would otherwise attract work by being free.
+func (k *Kernel) isBetter(a, b *executor, tried *core.ExecutorLoad) bool {
+	if x, y := a.health.suspicion(), b.health.suspicion(); x != y {
+		return x < y
+	}
+	return k.place.Better(&a.ExecutorLoad, &b.ExecutorLoad, tried)
+}
+
 // start sends t to e.
 func (k *Kernel) start(t *task, e *executor) {
 	k.assertStart(t, e)
--- a/core/scheduler/health.go
+++ b/core/scheduler/health.go
@@ -33,6 +33,11 @@
 	return t.req.Idempotent && e.Running == 0 && !now.Before(h.probeAt)
 }
 
+// suspicion is the number of whole failures in a row.
+func (h *health) suspicion() int {
+	return int(h.score)
+}
+
 // observeSuccess ends a row of failures and a quarantine.
 func (k *Kernel) observeSuccess(e *executor, tm *team) {
 	tm.failing[e] = false
--- a/core/scheduler/property_test.go
+++ b/core/scheduler/property_test.go
@@ -103,7 +103,7 @@
 	team := rapid.SampledFrom(worldTeams).Draw(w.t, "home of")
 	w.homeEpoch[team.Name]++
 	a := limit.Activation{
-		Team: team.Name, Epoch: w.homeEpoch[team.Name], Limit: team.Limit, Slots: map[string]int{worldPool: 12},
+		Team: team.Name, Epoch: w.homeEpoch[team.Name], Limit: team.Limit, Pools: []string{worldPool},
 	}
 	if w.chance(50, "home handed over") {
 		a.State = w.homes[team.Name].State()
--- a/core/scheduler/world_test.go
+++ b/core/scheduler/world_test.go
@@ -104,7 +104,7 @@
 	w.commit()
 	for _, team := range worldTeams {
 		w.homes[team.Name] = limit.New(limit.Activation{
-			Team: team.Name, Epoch: 1, Limit: team.Limit, Slots: map[string]int{worldPool: 12}, First: true,
+			Team: team.Name, Epoch: 1, Limit: team.Limit, Pools: []string{worldPool}, First: true,
 		})
 		w.homeEpoch[team.Name] = 1
 	}
--- a/node/follow.go
+++ b/node/follow.go
@@ -17,7 +17,10 @@
 
 // The messages about the store's content to the membership's actor.
 type (
-	membersChanged    struct{ members []membership.Member }
+	membersChanged struct {
+		members  []membership.Member
+		revision int64
+	}
 	assignmentChanged struct{ assignment membership.Assignment }
 	viewChanged       struct{ view *config.View }
 )
@@ -66,6 +69,7 @@
 	}
 	f.take(batch.Events)
 	f.revision = batch.Revision
+	f.sendMembers()
 	return nil
 }
 
@@ -85,11 +89,11 @@
 		events[i] = core.StoreEvent{Entry: e}
 	}
 	f.take(events)
+	f.revision = listing.Revision
 	f.sendMembers()
 	// Where there is no record yet, the empty one is the one to start from; the
 	// kernel ignores it otherwise.
 	f.node.send(f.node.membership, &assignmentChanged{})
-	f.revision = listing.Revision
 	f.node.log.Event(event.ConfigReloaded, f.node.settings.Name, fmt.Sprintf("store revision %d", listing.Revision))
 	return nil
 }
@@ -97,15 +101,11 @@
 // take applies changes in the order of their revisions.
 func (f *storeFollower) take(events []core.StoreEvent) {
 	before := f.config.State().Revision
-	membersBefore := maps.Clone(f.members)
 	for _, ev := range events {
 		if err := f.takeOne(ev); err != nil {
 			f.node.log.Event(event.ConfigRefused, ev.Entry.Key, err.Error())
 		}
 	}
-	if !maps.Equal(membersBefore, f.members) {
-		f.sendMembers()
-	}
 	if f.config.State().Revision > before {
 		f.node.setView(f.config.State(), f.config.View())
 	}
@@ -138,7 +138,8 @@
 	return nil
 }
 
+// sendMembers tells who holds a lease, also where only the revision is newer.
 func (f *storeFollower) sendMembers() {
 	members := slices.Collect(maps.Values(f.members))
-	f.node.send(f.node.membership, &membersChanged{members})
+	f.node.send(f.node.membership, &membersChanged{members, f.revision})
 }
--- a/node/membership.go
+++ b/node/membership.go
@@ -28,9 +28,9 @@
 		query peer.HandoverQuery
 		done  chan<- struct{}
 	}
-	handoverSent struct {
-		shard membership.Shard
-		ok    bool
+	handoverEnded struct {
+		shard  membership.Shard
+		result membership.HandoverResult
 	}
 	retiredEnded struct{ pid *actor.PID }
 )
@@ -60,7 +60,7 @@
 	case *leaseLost:
 		m.carryOut(m.kernel.LeaseLost(now))
 	case *membersChanged:
-		m.carryOut(m.kernel.MembersChanged(now, msg.members))
+		m.carryOut(m.kernel.MembersChanged(now, msg.members, msg.revision))
 	case *assignmentChanged:
 		m.assignmentChanged(now, msg.assignment)
 	case *viewChanged:
@@ -70,8 +70,8 @@
 	case *handoverState:
 		m.received[msg.query.Shard] = msg.query
 		close(msg.done)
-	case *handoverSent:
-		m.carryOut(m.kernel.HandoverSent(now, msg.shard, msg.ok))
+	case *handoverEnded:
+		m.carryOut(m.kernel.HandoverEnded(now, msg.shard, msg.result))
 	case *retiredEnded:
 		m.dir.retired = slices.DeleteFunc(slices.Clone(m.dir.retired), msg.pid.Equal)
 		m.publish()
@@ -169,7 +169,7 @@
 	case membership.KindTeam:
 		team, _ := m.view.Team(a.Shard.Name)
 		activation := limit.Activation{
-			Team: a.Shard.Name, Epoch: a.Epoch, Limit: team.Limit, Slots: poolSlots(m.view), First: a.First,
+			Team: a.Shard.Name, Epoch: a.Epoch, Limit: team.Limit, Pools: poolNames(m.view), First: a.First,
 		}
 		if inherits {
 			activation.State = received.Team
@@ -237,8 +237,11 @@
 	m.node.spawn(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
 		defer cancel()
-		ok := m.node.freeze(ctx, &q, pool, team) && m.node.sendHandover(ctx, h.To.Address, q)
-		m.node.send(m.node.membership, &handoverSent{shard: h.Shard, ok: ok})
+		result := membership.HandoverNotFrozen
+		if m.node.freeze(ctx, &q, pool, team) {
+			result = m.node.sendHandover(ctx, h.To.Address, q)
+		}
+		m.node.send(m.node.membership, &handoverEnded{shard: h.Shard, result: result})
 	})
 }
 
@@ -270,13 +273,13 @@
 	}
 }
 
-func (n *Node) sendHandover(ctx context.Context, address string, q peer.HandoverQuery) bool {
+func (n *Node) sendHandover(ctx context.Context, address string, q peer.HandoverQuery) membership.HandoverResult {
 	if err := n.peers.Handover(ctx, address, q); err != nil {
 		n.log.Event(event.HandoverFailed, q.Shard.String(), err.Error())
-		return false
+		return membership.HandoverLost
 	}
 	n.log.Event(event.HandoverSent, q.Shard.String(), address)
-	return true
+	return membership.HandoverDone
 }
 
 // HandoverLocal keeps the state of a shard until this node owns it.
--- a/node/team.go
+++ b/node/team.go
@@ -46,7 +46,7 @@
 		t.report(m)
 	case *teamView:
 		team, _ := m.view.Team(t.team)
-		t.ledger.SetLimit(team.Limit, poolSlots(m.view))
+		t.ledger.SetLimit(team.Limit, poolNames(m.view))
 	case *teamFreeze:
 		t.frozen = true
 		m.reply <- t.ledger.State()
@@ -65,11 +65,11 @@
 	m.reply <- teamAnswer{answer, ok}
 }
 
-// poolSlots returns the number of slots of each pool.
-func poolSlots(v *config.View) map[string]int {
-	slots := make(map[string]int, len(v.Register.Pools))
-	for _, p := range v.Register.Pools {
-		slots[p.Name] = v.PoolSlots(p.Name)
+// poolNames returns the names of all pools.
+func poolNames(v *config.View) []string {
+	names := make([]string, len(v.Register.Pools))
+	for i, p := range v.Register.Pools {
+		names[i] = p.Name
 	}
-	return slots
+	return names
 }
