--- a/commands/demo.go
+++ b/commands/demo.go
@@ -62,6 +62,11 @@
 		promises.AppendRow(table.Row{p.Name, p.Tried, p.Tried - p.Violated, p.Violated})
 	}
 	promises.Render()
+	for _, p := range r.Promises {
+		if p.Violated > 0 {
+			fmt.Fprintf(s.out, "violated: %s: %s\n", p.Name, p.Example)
+		}
+	}
 	_, err := fmt.Fprintf(s.out, "requests: %d sent, %d done, %d not_run, %d unknown; seed %d\n",
 		r.Requests.Sent, r.Requests.Done, r.Requests.NotRun, r.Requests.Unknown, r.Seed)
 	return err
--- a/commands/node.go
+++ b/commands/node.go
@@ -21,7 +21,7 @@
 
 // nodeFlags say which node a command talks to.
 type nodeFlags struct {
-	Node string `help:"Operator address of any node." default:"127.0.0.1:7002" env:"JACINTHWIND_NODE"`
+	Node string `help:"Operator address of any node." default:"127.0.0.1:7012" env:"JACINTHWIND_NODE"`
 	JSON bool   `name:"json" help:"Print JSON."`
 }
 
--- a/commands/submit.go
+++ b/commands/submit.go
@@ -17,7 +17,7 @@
 )
 
 type submitCommand struct {
-	Node       string        `help:"Caller address of any node." default:"127.0.0.1:7000" env:"JACINTHWIND_CALLER_NODE"`
+	Node       string        `help:"Caller address of any node." default:"127.0.0.1:7010" env:"JACINTHWIND_CALLER_NODE"`
 	Key        string        `help:"The team's key." env:"JACINTHWIND_KEY"`
 	ID         string        `name:"id" help:"Id of the request, made up when absent."`
 	Idempotent bool          `help:"The request may run more than once."`
--- a/core/scheduler/task.go
+++ b/core/scheduler/task.go
@@ -85,17 +85,6 @@
 	l.length++
 }
 
-func (l *taskList) pushFront(t *task) {
-	t.prev, t.next = nil, l.head
-	if l.head != nil {
-		l.head.prev = t
-	} else {
-		l.tail = t
-	}
-	l.head = t
-	l.length++
-}
-
 func (l *taskList) remove(t *task) {
 	if t.prev != nil {
 		t.prev.next = t.next
--- a/demo/check.go
+++ b/demo/check.go
@@ -1,6 +1,7 @@
 package demo
 
 import (
+	"fmt"
 	"strings"
 	"time"
 
@@ -159,17 +160,34 @@
 	p := Promise{Name: "a refusal that says not_run is true"}
 	for _, s := range j.sent {
 		if s.outcome() == core.NotRun {
-			p.try(j.startsOf[s.id] == 0, s.id)
+			p.try(j.startsOf[s.id] == 0, j.describe(s))
 		}
 	}
 	return p
 }
 
+// describe tells everything about one request.
+func (j *judge) describe(s *sent) string {
+	text := fmt.Sprintf("%s of team %q sent at %s, idempotent %t", s.id, s.team, s.at.Format(clock), s.idempotent)
+	for _, r := range s.replies {
+		text += fmt.Sprintf("; node %d from %s to %s: %s %s", r.node, r.sentAt.Format(clock), r.endedAt.Format(clock), r.outcome, r.reason)
+	}
+	for _, start := range j.starts {
+		if start.RequestID == s.id {
+			text += fmt.Sprintf("; start %s on %s at %s", start.Attempt, start.VM, start.At.Format(clock))
+		}
+	}
+	return text + fmt.Sprintf("; stop from %s to %s, kill at %s",
+		j.marks.stopBegan.Format(clock), j.marks.stopEnded.Format(clock), j.marks.killed.Format(clock))
+}
+
+const clock = "05.000"
+
 func (j *judge) atMostOnce() Promise {
 	p := Promise{Name: "a non-idempotent request runs at most once"}
 	for _, s := range j.sent {
 		if !s.idempotent {
-			p.try(j.startsOf[s.id] <= 1, s.id)
+			p.try(j.startsOf[s.id] <= 1, j.describe(s))
 		}
 	}
 	return p
