Address a pool's report to one home of the team

Cause: 100,000 random checks found a report of an earlier owner of the pool, delayed past a change of the team's home, which the new home took for the pool's state. In the demo, the callers' HTTP transport sent requests again by itself, since they carry an idempotency key, and a refused second connection hid that the first one had been taken. Change: a report names the epoch of the home that it is meant for, and other homes ignore it. The demo's callers send bodies that cannot be replayed. The configuration keeps typed lists instead of raw entries.

--- a/commands/config.go
+++ b/commands/config.go
@@ -104,11 +104,7 @@
 	if c.Base == 0 {
 		c.Base = current.Revision
 	}
-	state, err := config.FromDocument(&current.Document)
-	if err != nil {
-		return err
-	}
-	ops, err := state.Diff(&doc)
+	ops, err := config.State{Document: current.Document}.Diff(&doc)
 	if err != nil {
 		return err
 	}
--- a/commands/zone.go
+++ b/commands/zone.go
@@ -25,7 +25,7 @@
 		if slices.Contains(doc.Rules.DataCentresOut, c.Name) {
 			return nil, fmt.Errorf("data centre %s is out of service already", c.Name)
 		}
-		op, err := config.Put(config.KindDataCentreOut, c.Name, struct{}{})
+		op, err := config.Put(config.KindDataCentreOut, c.Name, c.Name)
 		return []config.Operation{op}, err
 	})
 }
--- a/core/config/change.go
+++ b/core/config/change.go
@@ -1,9 +1,10 @@
 package config
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -42,16 +43,11 @@
 	Operations []Operation `json:"operations"`
 }
 
-// State is the configuration as a set of entries by kind and name; its zero
-// value is empty.
+// State is the configuration of one revision; its zero value is empty. Its
+// lists are in the order of the names and are never changed in place.
 type State struct {
 	Revision int64
-	entries  map[entryKey]json.RawMessage
-}
-
-type entryKey struct {
-	kind Kind
-	name string
+	Document Document
 }
 
 // Apply returns the state after c, which must be the next change of the log.
@@ -59,42 +55,41 @@
 	if c.Revision != s.Revision+1 {
 		return s, fmt.Errorf("change %d does not follow revision %d", c.Revision, s.Revision)
 	}
-	next := State{Revision: c.Revision, entries: make(map[entryKey]json.RawMessage, len(s.entries)+len(c.Operations))}
-	for k, v := range s.entries {
-		next.entries[k] = v
-	}
+	next := State{Revision: c.Revision, Document: s.Document}
 	for _, op := range c.Operations {
-		key := entryKey{op.Kind, op.Name}
-		if op.Value == nil {
-			delete(next.entries, key)
-			continue
+		k, ok := kinds[op.Kind]
+		if !ok {
+			return s, fmt.Errorf("change %d: unknown kind %q", c.Revision, op.Kind)
+		}
+		if err := k.apply(&next.Document, op); err != nil {
+			return s, fmt.Errorf("change %d: %s: %w", c.Revision, op, err)
 		}
-		next.entries[key] = op.Value
 	}
 	return next, nil
 }
 
 // Diff returns the operations that turn s into the document.
 func (s State) Diff(doc *Document) ([]Operation, error) {
-	want, err := FromDocument(doc)
-	if err != nil {
-		return nil, err
-	}
 	var ops []Operation
-	for k, v := range want.entries {
-		if !bytes.Equal(s.entries[k], v) {
-			ops = append(ops, Operation{Kind: k.kind, Name: k.name, Value: v})
+	for _, name := range slices.Sorted(maps.Keys(kinds)) {
+		changed, err := kinds[name].diff(&s.Document, doc)
+		if err != nil {
+			return nil, err
 		}
+		ops = append(ops, changed...)
 	}
-	for k := range s.entries {
-		if _, kept := want.entries[k]; !kept {
-			ops = append(ops, Operation{Kind: k.kind, Name: k.name})
-		}
-	}
-	sortOperations(ops)
 	return ops, nil
 }
 
+// Put returns the operation that puts an entry.
+func Put(kind Kind, name string, value any) (Operation, error) {
+	raw, err := json.Marshal(value)
+	if err != nil {
+		return Operation{}, fmt.Errorf("encode %s %q: %w", kind, name, err)
+	}
+	return Operation{Kind: kind, Name: name, Value: raw}, nil
+}
+
 // String returns the operation in a few words.
 func (o Operation) String() string {
 	if o.Value == nil {
--- a/core/config/config_test.go
+++ b/core/config/config_test.go
@@ -88,16 +88,15 @@
 	require.NoError(t, err)
 	state, err := config.State{}.Apply(&config.Change{Revision: 1, Operations: ops})
 	require.NoError(t, err)
-	again, err := state.Document()
-	require.NoError(t, err)
-	require.Equal(t, doc, again)
+	require.Equal(t, doc, state.Document)
 	ops, err = state.Diff(&doc)
 	require.NoError(t, err)
 	require.Empty(t, ops)
 	doc.Rules.DataCentresOut = nil
-	doc.Register.Teams[0].Limit = 11
+	doc.Register.Teams = []config.Team{{Name: "guild", Share: 2, Limit: 11}, doc.Register.Teams[1]}
 	ops, err = state.Diff(&doc)
 	require.NoError(t, err)
+	require.Len(t, state.Document.Rules.DataCentresOut, 1)
 	require.Equal(t, "[delete data_centre_out dc2 put team guild]", strings.ReplaceAll(string(must(ops)), "\n", ""))
 	_, err = state.Apply(&config.Change{Revision: 3})
 	require.ErrorContains(t, err, "change 3 does not follow revision 1")
@@ -156,7 +155,6 @@
 		require.NoError(t, err)
 		state, err := config.State{}.Apply(&config.Change{Revision: 1, Operations: ops})
 		require.NoError(t, err)
-		_, err = config.NewView(state)
-		require.NoError(t, err)
+		require.Equal(t, int64(1), config.NewView(state, nil).Revision)
 	})
 }
--- a/core/config/follower.go
+++ b/core/config/follower.go
@@ -1,7 +1,5 @@
 package config
 
-import "fmt"
-
 // Follower applies the changes of the log in order and never goes back; its
 // zero value holds the empty configuration.
 type Follower struct {
@@ -39,11 +37,7 @@
 	if err != nil {
 		return err
 	}
-	view, err := NewView(state)
-	if err != nil {
-		return fmt.Errorf("apply change %s: %w", c.ID, err)
-	}
-	f.state, f.view = state, view
+	f.state, f.view = state, NewView(state, f.view)
 	return nil
 }
 
--- a/core/config/view.go
+++ b/core/config/view.go
@@ -3,7 +3,6 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
-	"fmt"
 )
 
 // View is the configuration of one revision with the indexes that decisions
@@ -21,41 +20,78 @@
 	poolSlots map[string]int
 }
 
-// NewView indexes the configuration of s.
-func NewView(s State) (*View, error) {
-	doc, err := s.Document()
-	if err != nil {
-		return nil, fmt.Errorf("configuration revision %d: %w", s.Revision, err)
-	}
+// NewView indexes the configuration of s. The indexes of an earlier view are
+// used again where their lists did not change; previous may be nil.
+func NewView(s State, previous *View) *View {
 	v := &View{
-		Document:   doc,
+		Document:   s.Document,
 		Revision:   s.Revision,
-		Scheduling: doc.Rules.Scheduling.WithDefaults(),
-		queues:     make(map[string]Queue, len(doc.Register.Queues)),
-		teams:      make(map[string]Team, len(doc.Register.Teams)),
-		keys:       make(map[string]string, len(doc.Register.Keys)),
-		poolVMs:    make(map[string][]VM, len(doc.Register.Pools)),
-		out:        make(map[string]bool, len(doc.Rules.DataCentresOut)),
-		poolSlots:  make(map[string]int, len(doc.Register.Pools)),
+		Scheduling: s.Document.Rules.Scheduling.WithDefaults(),
+	}
+	if previous == nil {
+		previous = &View{}
 	}
-	v.index()
-	return v, nil
+	v.indexQueues(previous)
+	v.indexTeams(previous)
+	v.indexKeys(previous)
+	v.indexVMs(previous)
+	v.indexOut()
+	return v
+}
+
+// isSame reports whether two lists are one; lists are never changed in place.
+func isSame[T any](a, b []T) bool {
+	return len(a) == len(b) && len(a) > 0 && &a[0] == &b[0]
 }
 
-func (v *View) index() {
+func (v *View) indexQueues(previous *View) {
+	if isSame(v.Register.Queues, previous.Register.Queues) {
+		v.queues = previous.queues
+		return
+	}
+	v.queues = make(map[string]Queue, len(v.Register.Queues))
 	for _, q := range v.Register.Queues {
 		v.queues[q.Name] = q
 	}
+}
+
+func (v *View) indexTeams(previous *View) {
+	if isSame(v.Register.Teams, previous.Register.Teams) {
+		v.teams = previous.teams
+		return
+	}
+	v.teams = make(map[string]Team, len(v.Register.Teams))
 	for _, t := range v.Register.Teams {
 		v.teams[t.Name] = t
 	}
+}
+
+func (v *View) indexKeys(previous *View) {
+	if isSame(v.Register.Keys, previous.Register.Keys) {
+		v.keys = previous.keys
+		return
+	}
+	v.keys = make(map[string]string, len(v.Register.Keys))
 	for _, k := range v.Register.Keys {
 		v.keys[k.SHA256] = k.Team
 	}
+}
+
+func (v *View) indexVMs(previous *View) {
+	if isSame(v.Register.VMs, previous.Register.VMs) {
+		v.poolVMs, v.poolSlots = previous.poolVMs, previous.poolSlots
+		return
+	}
+	v.poolVMs = make(map[string][]VM, len(v.Register.Pools))
+	v.poolSlots = make(map[string]int, len(v.Register.Pools))
 	for _, vm := range v.Register.VMs {
 		v.poolVMs[vm.Pool] = append(v.poolVMs[vm.Pool], vm)
 		v.poolSlots[vm.Pool] += vm.Executor.Slots
 	}
+}
+
+func (v *View) indexOut() {
+	v.out = make(map[string]bool, len(v.Rules.DataCentresOut))
 	for _, name := range v.Rules.DataCentresOut {
 		v.out[name] = true
 	}
--- a/core/limit/ledger.go
+++ b/core/limit/ledger.go
@@ -13,7 +13,10 @@
 
 // Report is what a pool tells the home of a team.
 type Report struct {
-	Team      string `json:"team"`
+	Team string `json:"team"`
+	// HomeEpoch is the home that the report is meant for. A report to an earlier
+	// home may come from an earlier owner of the pool.
+	HomeEpoch uint64 `json:"home_epoch"`
 	Pool      string `json:"pool"`
 	PoolEpoch uint64 `json:"pool_epoch"`
 	Seq       uint64 `json:"seq"`
@@ -109,8 +112,11 @@
 }
 
 // Report takes a pool's report and returns the answer; false means that the
-// report was overtaken by a later one and gets none.
+// report was overtaken by a later one, or meant for another home, and gets none.
 func (l *Ledger) Report(now time.Time, r Report) (Answer, bool) {
+	if r.HomeEpoch != l.epoch {
+		return Answer{}, false
+	}
 	loan, ok := l.loans[r.Pool]
 	if !ok {
 		loan = &Loan{Pool: r.Pool, Known: true}
--- a/core/scheduler/kernel_test.go
+++ b/core/scheduler/kernel_test.go
@@ -64,9 +64,7 @@
 }
 
 func (b *bench) view() *config.View {
-	v, err := config.NewView(b.state)
-	require.NoError(b.t, err)
-	return v
+	return config.NewView(b.state, nil)
 }
 
 // reconfigure changes the document and puts it in force.
--- a/core/scheduler/property_test.go
+++ b/core/scheduler/property_test.go
@@ -109,6 +109,7 @@
 		a.State = w.homes[team.Name].State()
 	}
 	w.homes[team.Name] = limit.New(a)
+	w.trace("home %d of %s, handed over %t", a.Epoch, team.Name, a.State != nil)
 	w.step(w.owner(), &scheduler.HomeChanged{Team: team.Name})
 }
 
--- a/core/scheduler/world_test.go
+++ b/core/scheduler/world_test.go
@@ -119,9 +119,7 @@
 }
 
 func (w *world) view() *config.View {
-	v, err := config.NewView(w.state)
-	require.NoError(w.t, err)
-	return v
+	return config.NewView(w.state, nil)
 }
 
 func (w *world) chance(percent int, what string) bool {
@@ -194,7 +192,8 @@
 		w.later(10, func() { w.stop(s) })
 	}
 	for _, x := range fx.Exchanges {
-		w.later(10, func() { w.exchange(o, x) })
+		home := w.homeEpoch[x.Team]
+		w.later(10, func() { w.exchange(o, x, home) })
 	}
 }
 
@@ -356,9 +355,10 @@
 	})
 }
 
-func (w *world) exchange(o *worldOwner, x scheduler.Exchange) {
+func (w *world) exchange(o *worldOwner, x scheduler.Exchange, home uint64) {
+	w.trace("owner %d reports %+v to home %d", o.epoch, x, home)
 	answer, ok := w.homes[x.Team].Report(w.now, limit.Report{
-		Team: x.Team, Pool: worldPool, PoolEpoch: o.epoch, Seq: x.Seq, Held: x.Held, Want: x.Want,
+		Team: x.Team, HomeEpoch: home, Pool: worldPool, PoolEpoch: o.epoch, Seq: x.Seq, Held: x.Held, Want: x.Want,
 	})
 	for _, n := range w.homes[x.Team].TakeNotes() {
 		require.False(w.t, n.Number.IsViolation(), n.String())
@@ -367,6 +367,7 @@
 		return
 	}
 	w.later(10, func() {
+		w.trace("owner %d gets %+v", o.epoch, answer)
 		w.step(o, &scheduler.LimitGranted{
 			Team: answer.Team, HomeEpoch: answer.HomeEpoch, Seq: answer.Seq,
 			Granted: answer.Granted, Target: answer.Target, Unknown: answer.Unknown,
--- a/demo/load.go
+++ b/demo/load.go
@@ -219,6 +219,10 @@
 	if err != nil {
 		return r, err
 	}
+	// With a body that can be read again the transport would send the request a
+	// second time by itself, because it carries an idempotency key, and a
+	// refused second connection would hide that the first one took it.
+	req.GetBody = nil
 	if !s.open {
 		req.Header.Set(header.Authorization, "Bearer "+l.fleet.secrets[s.team])
 	}
--- a/demo/scenario.go
+++ b/demo/scenario.go
@@ -136,7 +136,9 @@
 }
 
 func (s *scenario) takeOut(ctx context.Context) error {
-	err := s.change(ctx, config.Operation{Kind: config.KindDataCentreOut, Name: outDataCentre, Value: []byte("{}")})
+	err := s.change(ctx, config.Operation{
+		Kind: config.KindDataCentreOut, Name: outDataCentre, Value: []byte(`"` + outDataCentre + `"`),
+	})
 	s.marks.out = time.Now()
 	return err
 }
--- a/node/accept.go
+++ b/node/accept.go
@@ -59,14 +59,10 @@
 // checkChange returns every fault of the configuration after the change.
 func checkChange(s config.State, c *config.Change) error {
 	next, err := s.Apply(c)
-	if err != nil {
-		return err
-	}
-	doc, err := next.Document()
 	if err != nil {
 		return &operator.InvalidError{Findings: config.Findings{{Path: "operations", Reason: err.Error()}}}
 	}
-	findings, err := config.Validate(&doc)
+	findings, err := config.Validate(&next.Document)
 	if err != nil {
 		return err
 	}
@@ -160,9 +156,5 @@
 // Config returns the configuration in force on this node.
 func (n *Node) Config(context.Context) (operator.ConfigReply, error) {
 	state := n.configState()
-	doc, err := state.Document()
-	if err != nil {
-		return operator.ConfigReply{}, err
-	}
-	return operator.ConfigReply{Revision: state.Revision, Document: doc}, nil
+	return operator.ConfigReply{Revision: state.Revision, Document: state.Document}, nil
 }
--- a/node/limits.go
+++ b/node/limits.go
@@ -20,12 +20,12 @@
 	epoch := d.pools[pool].epoch
 	byAddress := make(map[string][]limit.Report)
 	for _, x := range exchanges {
-		_, home, ok := d.owner(teamShard(x.Team))
+		owner, home, ok := d.owner(teamShard(x.Team))
 		if !ok {
 			continue
 		}
 		byAddress[home.Address] = append(byAddress[home.Address], limit.Report{
-			Team: x.Team, Pool: pool, PoolEpoch: epoch, Seq: x.Seq, Held: x.Held, Want: x.Want,
+			Team: x.Team, HomeEpoch: owner.Epoch, Pool: pool, PoolEpoch: epoch, Seq: x.Seq, Held: x.Held, Want: x.Want,
 		})
 	}
 	for address, reports := range byAddress {
