Dispatch without allocation and without looking at busy executors

Cause: a decision with 100,000 queued requests took 3.4 us and one allocation; profile: 16% in the look at 100 executors, the rest spread over maps and heaps. Change: a list of free executors, attempts used again, executors hold their attempts in a slice, records expire in queues instead of a heap, keys are checked again only after a change of the configuration.

--- a/core/scheduler/dispatch.go
+++ b/core/scheduler/dispatch.go
@@ -24,7 +24,7 @@
 		return false
 	}
 	t := tm.waiting[priority].head
-	if reason := k.keyFault(t.req); reason != core.ReasonNone {
+	if reason := k.keyFaultSince(t); reason != core.ReasonNone {
 		k.unwait(t)
 		k.settleUnstarted(t, reason)
 		return true
@@ -37,6 +37,16 @@
 	return true
 }
 
+// keyFaultSince checks the key of a waiting request again where another
+// configuration has come into force since the last check.
+func (k *Kernel) keyFaultSince(t *task) core.Reason {
+	if t.keyRevision == k.view.Revision {
+		return core.ReasonNone
+	}
+	t.keyRevision = k.view.Revision
+	return k.keyFault(t.req)
+}
+
 // nextTeam returns the team that starts next and the priority it starts with.
 func (k *Kernel) nextTeam() (*team, core.Priority, bool) {
 	urgent, normal := k.ready[core.Urgent], k.ready[core.Normal]
@@ -58,7 +68,7 @@
 		tried = &t.lastTried.ExecutorLoad
 	}
 	var best *executor
-	for _, e := range k.executors {
+	for _, e := range k.free {
 		if !e.isEligible(t, k.now) {
 			continue
 		}
@@ -84,7 +94,8 @@
 	k.unwait(t)
 	k.seq++
 	k.starts++
-	a := &attempt{
+	a := k.newAttempt()
+	*a = attempt{
 		id:         core.AttemptID{Pool: k.pool, Epoch: k.epoch, Seq: k.seq},
 		exec:       e,
 		team:       t.team,
@@ -160,28 +171,6 @@
 	}
 }
 
-// occupy counts a as running.
-func (k *Kernel) occupy(a *attempt) {
-	k.attempts[a.id] = a
-	a.exec.attempts[a.id] = a
-	a.exec.Running++
-	if a.team != nil {
-		a.team.running++
-		k.updateReady(a.team)
-	}
-}
-
-// release counts a as proved ended.
-func (k *Kernel) release(a *attempt) {
-	delete(k.attempts, a.id)
-	delete(a.exec.attempts, a.id)
-	a.exec.Running--
-	if a.team != nil {
-		a.team.running--
-		k.updateReady(a.team)
-	}
-}
-
 // charge adds the expected slot time of a to its team.
 func (k *Kernel) charge(a *attempt) {
 	tm := a.team
--- a/core/scheduler/executor.go
+++ b/core/scheduler/executor.go
@@ -23,11 +23,13 @@
 	doubtful bool
 	instance string
 
-	attempts map[core.AttemptID]*attempt
+	attempts []*attempt
 	pollAt   time.Time
 	polling  bool
 
 	health health
+	// freeIndex is the place in the kernel's list of free executors, -1 outside.
+	freeIndex int
 }
 
 // capacity is the number of tasks that the executor may run at once.
@@ -35,12 +37,14 @@
 	return min(e.Slots, e.connections)
 }
 
+// hasSlot reports whether e may take a further task unless it is quarantined.
+func (e *executor) hasSlot() bool {
+	return e.listed && !e.draining && e.proved && e.Running < e.capacity()
+}
+
 // isEligible reports whether a task may start on e now.
 func (e *executor) isEligible(t *task, now time.Time) bool {
-	if !e.listed || e.draining || !e.proved || e.Running >= e.capacity() {
-		return false
-	}
-	return e.health.admits(e, t, now)
+	return e.hasSlot() && e.health.admits(e, t, now)
 }
 
 // attempt is one execution that is not proved ended.
--- a/core/scheduler/kernel.go
+++ b/core/scheduler/kernel.go
@@ -104,13 +104,20 @@
 
 	teams     map[string]*team
 	executors []*executor
-	tasks     map[RequestKey]*task
-	attempts  map[core.AttemptID]*attempt
+	// free holds the executors that have a slot for a task.
+	free []*executor
+	// ended holds the attempts of this step that may be used again.
+	ended    []*attempt
+	spare    []*attempt
+	tasks    map[RequestKey]*task
+	attempts map[core.AttemptID]*attempt
 
 	ready     [priorities]*readyHeap
 	deadlines *taskHeap
 	retries   *taskHeap
-	expiries  *taskHeap
+	// refusals and settledTasks hold the records until they expire.
+	refusals     recordQueue
+	settledTasks recordQueue
 	// held lists settled tasks that still have their answer, oldest first.
 	held      []*task
 	heldBytes int
@@ -169,7 +176,6 @@
 		attempts:    make(map[core.AttemptID]*attempt),
 		deadlines:   newDeadlineHeap(),
 		retries:     newRetryHeap(),
-		expiries:    newExpireHeap(),
 		retryBudget: initialRetryBudget,
 	}
 	for p := range k.ready {
@@ -193,6 +199,7 @@
 		e.proved = inherited
 		e.doubtful = !inherited
 	}
+	k.updateAllFree()
 	if a.State != nil {
 		k.adopt(a.State)
 	}
@@ -203,6 +210,7 @@
 // Step applies one event and returns its effects, valid until the next step.
 func (k *Kernel) Step(now time.Time, ev Event) *Effects {
 	k.effects.reset()
+	k.recycle()
 	if now.After(k.now) {
 		k.now = now
 	}
--- a/core/scheduler/settle.go
+++ b/core/scheduler/settle.go
@@ -61,12 +61,20 @@
 		window = k.settings.ForwardWindow + 2*k.settings.ClockSkew
 	}
 	t.expireAt = k.now.Add(window)
-	k.expiries.add(t)
+	k.records(t).push(t)
 	if t.result.Answer != nil {
 		k.hold(t)
 	}
 }
 
+// records returns the queue for t; within one queue all are kept equally long.
+func (k *Kernel) records(t *task) *recordQueue {
+	if t.result.Outcome == core.NotRun {
+		return &k.refusals
+	}
+	return &k.settledTasks
+}
+
 // hold keeps the answer of t and drops the oldest ones over the bound.
 func (k *Kernel) hold(t *task) {
 	k.held = append(k.held, t)
@@ -86,14 +94,17 @@
 
 // forget removes a settled record.
 func (k *Kernel) forget(t *task) {
-	k.expiries.drop(t)
-	delete(k.tasks, t.key)
+	if k.tasks[t.key] == t {
+		delete(k.tasks, t.key)
+	}
 }
 
 // expire forgets the records whose time has come.
 func (k *Kernel) expire() {
-	for t := k.expiries.due(k.now); t != nil; t = k.expiries.due(k.now) {
-		k.forget(t)
+	for _, q := range []*recordQueue{&k.refusals, &k.settledTasks} {
+		for t := q.pop(k.now); t != nil; t = q.pop(k.now) {
+			k.forget(t)
+		}
 	}
 	for len(k.held) > 0 && k.tasks[k.held[0].key] != k.held[0] {
 		k.dropAnswer()
--- a/core/scheduler/state.go
+++ b/core/scheduler/state.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -122,7 +123,7 @@
 	for _, t := range k.tasks {
 		s.Tasks = append(s.Tasks, taskState(t))
 	}
-	for _, a := range sortedAttempts(k.attempts) {
+	for _, a := range sortedAttempts(slices.Collect(maps.Values(k.attempts))) {
 		run := RunState{Attempt: a.id, Executor: a.exec.Name, StartBy: a.startBy, LeaseUntil: a.leaseUntil}
 		if a.team != nil {
 			run.Team = a.team.Name
@@ -176,9 +177,11 @@
 	for _, r := range s.Running {
 		k.adoptAttempt(r)
 	}
+	slices.SortFunc(s.Tasks, func(a, b TaskState) int { return a.ExpireAt.Compare(b.ExpireAt) })
 	for _, ts := range s.Tasks {
 		k.adoptTask(ts)
 	}
+	k.updateAllFree()
 	for _, tm := range k.teams {
 		k.updateReady(tm)
 	}
@@ -202,14 +205,14 @@
 func (k *Kernel) adoptTask(s TaskState) {
 	t := &task{
 		key: s.Key, team: k.team(s.Key.Team), deadline: s.Deadline, settledAt: s.SettledAt, expireAt: s.ExpireAt,
-		deadlineIndex: -1, retryIndex: -1, expireIndex: -1,
+		deadlineIndex: -1, retryIndex: -1,
 	}
 	k.tasks[t.key] = t
 	outcome, _ := core.ParseOutcome(s.Outcome)
 	if outcome != core.Pending {
 		t.state = stateSettled
 		t.result = core.Result{Outcome: outcome, Reason: s.Reason}
-		k.expiries.add(t)
+		k.records(t).push(t)
 		return
 	}
 	t.state = stateRunning
--- a/core/scheduler/submit.go
+++ b/core/scheduler/submit.go
@@ -186,7 +186,6 @@
 		mayHaveRun:    k.mayHaveRun(ev.Request),
 		deadlineIndex: -1,
 		retryIndex:    -1,
-		expireIndex:   -1,
 	}
 	k.tasks[t.key] = t
 	return t
--- a/core/scheduler/task.go
+++ b/core/scheduler/task.go
@@ -45,6 +45,8 @@
 	current   *attempt
 	lastTried *executor
 	cancelled bool
+	// keyRevision is the configuration under which the key was last checked.
+	keyRevision int64
 	// mayHaveRun means that an earlier copy of the request may have run under
 	// a record that is gone.
 	mayHaveRun bool
@@ -59,7 +61,6 @@
 	// The indexes of the task in the kernel's heaps, -1 outside.
 	deadlineIndex int
 	retryIndex    int
-	expireIndex   int
 }
 
 // isAdopted reports whether the request itself stayed with the predecessor, so
@@ -165,9 +166,22 @@
 	}
 }
 
-func newExpireHeap() *taskHeap {
-	return &taskHeap{
-		at:    func(t *task) time.Time { return t.expireAt },
-		index: func(t *task) *int { return &t.expireIndex },
+// recordQueue holds settled tasks in the order in which they expire.
+type recordQueue struct {
+	items []*task
+}
+
+func (q *recordQueue) push(t *task) {
+	q.items = append(q.items, t)
+}
+
+// pop returns the first task whose time has come, nil where there is none.
+func (q *recordQueue) pop(now time.Time) *task {
+	if len(q.items) == 0 || q.items[0].expireAt.After(now) {
+		return nil
 	}
+	t := q.items[0]
+	q.items[0] = nil
+	q.items = q.items[1:]
+	return t
 }
--- a/core/scheduler/usage.go
+++ b/core/scheduler/usage.go
@@ -43,11 +43,10 @@
 	k.effects.Polls = append(k.effects.Polls, p)
 }
 
-func sortedAttempts(m map[core.AttemptID]*attempt) []*attempt {
-	list := make([]*attempt, 0, len(m))
-	for _, a := range m {
-		list = append(list, a)
-	}
+// sortedAttempts returns a copy in a fixed order, which the caller may go
+// through while attempts end.
+func sortedAttempts(attempts []*attempt) []*attempt {
+	list := slices.Clone(attempts)
 	slices.SortFunc(list, compareAttempts)
 	return list
 }
@@ -78,6 +77,7 @@
 		return
 	}
 	e.draining = ev.Usage.Draining
+	k.updateFree(e)
 	if e.instance != "" && e.instance != ev.Usage.Instance {
 		k.endReplaced(e, ev)
 	}
@@ -137,6 +137,7 @@
 	}
 	e.proved = true
 	e.doubtful = false
+	k.updateFree(e)
 	k.note(event.ExecutorProved, e.Name, "")
 	k.countDoubt()
 }
--- a/core/scheduler/view.go
+++ b/core/scheduler/view.go
@@ -72,6 +72,7 @@
 	k.executors = slices.DeleteFunc(k.executors, func(e *executor) bool {
 		return e.removed && len(e.attempts) == 0 && k.forgetExecutor(e)
 	})
+	k.updateAllFree()
 }
 
 // executorAt returns the executor with this name and address and makes it
@@ -85,7 +86,7 @@
 	e := &executor{
 		ExecutorLoad: core.ExecutorLoad{Name: name},
 		address:      address,
-		attempts:     make(map[core.AttemptID]*attempt),
+		freeIndex:    -1,
 	}
 	k.executors = append(k.executors, e)
 	slices.SortFunc(k.executors, func(a, b *executor) int {
@@ -98,6 +99,7 @@
 	if e.health.quarantined {
 		k.quarantined--
 	}
+	k.updateFree(e)
 	for _, t := range k.teams {
 		delete(t.failing, e)
 	}
