--- a/common/header/header.go
+++ b/common/header/header.go
@@ -36,7 +36,7 @@
 var hopByHop = []string{
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
 	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-	"Content-Length", IdempotencyKey, Authorization,
+	"Content-Length", IdempotencyKey, "X-" + IdempotencyKey, Authorization,
 }
 
 // EndToEnd returns the headers that pass through to the other end.
--- a/core/limit/ledger.go
+++ b/core/limit/ledger.go
@@ -95,7 +95,7 @@
 		}
 	}
 	l.SetLimit(a.Limit, a.Pools)
-	l.note(event.TeamActivated, fmt.Sprintf("epoch %d, inherited %t", a.Epoch, l.inherited))
+	l.note(event.TeamActivated, fmt.Sprintf("epoch %d, inherited %t", a.Epoch, a.State != nil || a.First))
 	return l
 }
 
--- a/core/membership/kernel.go
+++ b/core/membership/kernel.go
@@ -21,6 +21,9 @@
 	writeTimeout = 2 * time.Second
 	// writeRetryWait is the time between a write that failed and the next one.
 	writeRetryWait = 300 * time.Millisecond
+	// handoverRetryWait is the time between a handover that did not begin and
+	// the next one.
+	handoverRetryWait = 300 * time.Millisecond
 	// DefaultSettleTime is how long a member must have been listed before
 	// shards are moved to it.
 	DefaultSettleTime = 5 * time.Second
@@ -89,6 +92,9 @@
 	writeAfter time.Time
 	movedAt    time.Time
 
+	// handAfter keeps a node from repeating a handover that failed at once.
+	handAfter time.Time
+
 	effects Effects
 }
 
@@ -204,6 +210,7 @@
 	switch result {
 	case HandoverNotFrozen:
 		delete(k.handing, s)
+		k.handAfter = k.now.Add(handoverRetryWait)
 	case HandoverLost:
 		h.sent = true
 		h.To = Member{}
@@ -305,6 +312,9 @@
 
 // handOver starts the handovers that leaving or balance ask for.
 func (k *Kernel) handOver() {
+	if k.now.Before(k.handAfter) {
+		return
+	}
 	if k.leaving {
 		for _, s := range slices.SortedFunc(maps.Keys(k.active), compareShards) {
 			k.startHandover(s)
--- /dev/null
+++ b/core/scheduler/fairness_test.go
@@ -0,0 +1,235 @@
+package scheduler_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"jacinthwind/core"
+	"jacinthwind/core/config"
+	"jacinthwind/core/order"
+	"jacinthwind/core/scheduler"
+)
+
+// fairTeam is one caller account of the fairness measurement.
+type fairTeam struct {
+	name   string
+	share  int
+	rate   float64
+	meanMS float64
+}
+
+// fairTeams are six accounts, two of them large; the large ones' tasks are also
+// longer than the others'.
+var fairTeams = []fairTeam{
+	{"large-1", 4, 300, 80},
+	{"large-2", 4, 240, 120},
+	{"mid", 2, 120, 40},
+	{"small-1", 1, 60, 30},
+	{"small-2", 1, 50, 20},
+	{"small-3", 1, 40, 50},
+}
+
+const (
+	fairSlots  = 96
+	fairStep   = 10 * time.Millisecond
+	fairLength = 120 * time.Second
+	// Each team in its turn asks burstFactor times its mean for burstLength and
+	// quietFactor of it for the rest of the cycle.
+	burstLength = 5 * time.Second
+	burstFactor = 5
+	quietFactor = 0.05
+	window      = time.Second
+	// loadFactor scales the rates so that every burst leaves a backlog for the
+	// next one.
+	loadFactor = 1.4
+)
+
+type runningTask struct {
+	end  time.Time
+	id   core.AttemptID
+	team int
+}
+
+type endHeap []runningTask
+
+func (h endHeap) Len() int           { return len(h) }
+func (h endHeap) Less(i, j int) bool { return h[i].end.Before(h[j].end) }
+func (h endHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *endHeap) Push(x any)        { *h = append(*h, x.(runningTask)) }
+
+func (h *endHeap) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
+// measureFairness runs the bursts against an order and returns the part of
+// the slot time that went to other teams than weighted max-min fairness gives
+// it to, and the part of the slots in use.
+func measureFairness(tb testing.TB, orderName string, seed uint64) (distance, used float64) {
+	rng := rand.New(rand.NewPCG(seed, 2))
+	now := time.Unix(1_800_000_000, 0)
+	began := now
+	k := newFairKernel(tb, now, orderName)
+	runs := make(map[string]time.Duration)
+	ends := &endHeap{}
+	backlog := make([]float64, len(fairTeams))
+	actual := make([]float64, len(fairTeams))
+	ideal := make([]float64, len(fairTeams))
+	wrong, total, n := 0.0, 0.0, 0
+	carryOut := func(fx *scheduler.Effects) {
+		for _, s := range fx.Starts {
+			heap.Push(ends, runningTask{now.Add(runs[s.Task.RequestID]), s.Task.Attempt, teamIndex(s.Task.Team)})
+		}
+		for _, x := range append([]scheduler.Exchange(nil), fx.Exchanges...) {
+			for _, s := range k.Step(now, &scheduler.LimitGranted{
+				Team: x.Team, Seq: x.Seq, Granted: max(x.Held, 0) + x.Want, Target: -1,
+			}).Starts {
+				heap.Push(ends, runningTask{now.Add(runs[s.Task.RequestID]), s.Task.Attempt, teamIndex(s.Task.Team)})
+			}
+		}
+	}
+	for now.Before(began.Add(fairLength)) {
+		now = now.Add(fairStep)
+		for ends.Len() > 0 && !(*ends)[0].end.After(now) {
+			e := heap.Pop(ends).(runningTask)
+			carryOut(k.Step(now, &scheduler.AttemptEnded{Attempt: e.id, Result: core.AttemptResult{Answer: &core.Answer{Status: 200}}}))
+		}
+		for i, t := range fairTeams {
+			for range poisson(rng, loadFactor*t.rate*burst(i, now.Sub(began))*fairStep.Seconds()) {
+				n++
+				id := fmt.Sprint(n)
+				runs[id] = time.Duration(rng.ExpFloat64() * t.meanMS * float64(time.Millisecond))
+				backlog[i] += runs[id].Seconds()
+				carryOut(k.Step(now, &scheduler.Submit{SentAt: now, Request: &core.Request{
+					ID: id, IssuedAt: now, Queue: "q", Team: t.name, KeyHash: config.DigestKey(t.name),
+					Deadline: now.Add(time.Hour), Payload: &core.Payload{},
+				}}))
+			}
+		}
+		carryOut(k.Step(now, &scheduler.Tick{}))
+		for _, e := range *ends {
+			actual[e.team] += fairStep.Seconds()
+		}
+		serveIdeal(backlog, ideal, fairSlots*fairStep.Seconds())
+		if now.Sub(began)%window == 0 {
+			for i := range fairTeams {
+				wrong += math.Abs(actual[i]-ideal[i]) / 2
+				total += ideal[i]
+				used += actual[i]
+				actual[i], ideal[i] = 0, 0
+			}
+		}
+	}
+	return wrong / total, used / (fairSlots * fairLength.Seconds())
+}
+
+func newFairKernel(tb testing.TB, now time.Time, orderName string) *scheduler.Kernel {
+	var doc config.Document
+	r := &doc.Register
+	r.DataCentres = []config.DataCentre{{Name: "dc1"}}
+	r.Pools = []config.Pool{{Name: "p"}}
+	r.Queues = []config.Queue{{Name: "q", Pool: "p"}}
+	for i := range fairSlots / 8 {
+		r.VMs = append(r.VMs, config.VM{
+			Name: fmt.Sprintf("vm%02d", i), Pool: "p", DataCentre: "dc1", Rack: "r1",
+			Executor: config.Executor{Address: fmt.Sprintf("10.0.0.%d:1", i+1), Slots: 8, Connections: 64},
+		})
+	}
+	for _, t := range fairTeams {
+		r.Teams = append(r.Teams, config.Team{Name: t.name, Share: t.share, Limit: 10_000})
+		r.Keys = append(r.Keys, config.Key{Name: t.name, Team: t.name, SHA256: config.DigestKey(t.name)})
+	}
+	doc.Rules.Scheduling.MaxQueued = 1_000_000
+	ops, err := config.State{}.Diff(&doc)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	state, err := config.State{}.Apply(&config.Change{Revision: 1, Operations: ops})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	// The task lease is longer than the run, so that no usage reports are due.
+	k, err := scheduler.New(now, scheduler.Settings{Order: orderName, Seed: 1, TaskLease: time.Hour, UsageInterval: time.Hour},
+		scheduler.Activation{Pool: "p", Epoch: 1, View: config.NewView(state, nil), First: true})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return k
+}
+
+func teamIndex(name string) int {
+	for i, t := range fairTeams {
+		if t.name == name {
+			return i
+		}
+	}
+	return -1
+}
+
+// burst is the factor on a team's mean rate at a time.
+func burst(team int, at time.Duration) float64 {
+	turn := int(at/burstLength) % len(fairTeams)
+	if turn == team {
+		return burstFactor
+	}
+	return quietFactor
+}
+
+func poisson(rng *rand.Rand, mean float64) int {
+	n, p := 0, rng.Float64()
+	for limit := math.Exp(-mean); p > limit; n++ {
+		p *= rng.Float64()
+	}
+	return n
+}
+
+// serveIdeal takes capacity slot-seconds from the backlogs by weighted max-min
+// fairness.
+func serveIdeal(backlog, served []float64, capacity float64) {
+	for capacity > 1e-9 {
+		weight := 0.0
+		for i, b := range backlog {
+			if b > 1e-9 {
+				weight += float64(fairTeams[i].share)
+			}
+		}
+		if weight == 0 {
+			return
+		}
+		left := capacity
+		for i, b := range backlog {
+			if b <= 1e-9 {
+				continue
+			}
+			part := min(b, left*float64(fairTeams[i].share)/weight)
+			backlog[i] -= part
+			served[i] += part
+			capacity -= part
+		}
+	}
+}
+
+// BenchmarkFairness prints the distance from weighted max-min shares under
+// bursts for the shipped order and two baselines on the same input.
+func BenchmarkFairness(b *testing.B) {
+	const seeds = 5
+	for _, name := range []string{order.NameFair, order.NameRoundRobin, order.NameFIFO} {
+		b.Run(name, func(b *testing.B) {
+			for b.Loop() {
+				distance, used := 0.0, 0.0
+				for seed := range uint64(seeds) {
+					d, u := measureFairness(b, name, seed)
+					distance += d / seeds
+					used += u / seeds
+				}
+				b.ReportMetric(100*distance, "%distance")
+				b.ReportMetric(100*used, "%used")
+			}
+		})
+	}
+}
--- a/core/scheduler/settle.go
+++ b/core/scheduler/settle.go
@@ -17,7 +17,9 @@
 
 // settle gives the result to all waiters and keeps the record.
 func (k *Kernel) settle(t *task, r core.Result) {
-	if t.mayHaveRun && r.Outcome == core.NotRun {
+	// After the end of its ownership a node cannot know whether a later owner
+	// runs another copy of the request.
+	if r.Outcome == core.NotRun && (t.mayHaveRun || k.frozen) {
 		r = core.Result{Outcome: core.Unknown, Reason: r.Reason}
 	}
 	k.assertNotRun(t, r)
--- a/core/scheduler/submit.go
+++ b/core/scheduler/submit.go
@@ -206,8 +206,9 @@
 // wait puts t at the end of its team's list.
 func (k *Kernel) wait(t *task) {
 	tm := t.team
-	if tm.waitingCount() == 0 && tm.running == 0 {
-		// An idle team does not save up a claim to slots it did not use.
+	if tm.waitingCount() == 0 {
+		// A team that had nothing waiting does not save up a claim to slots that
+		// it did not use.
 		tm.VirtualTime = max(tm.VirtualTime, k.virtualTime)
 	}
 	t.state = stateQueued
--- a/core/scheduler/takeover_test.go
+++ b/core/scheduler/takeover_test.go
@@ -83,6 +83,17 @@
 	require.Len(t, b.starts, 8)
 }
 
+// TestFrozenOwnerSaysNothingIsNotRun covers a cancelled task that an executor
+// refuses after the handover, while the next owner may run another copy.
+func TestFrozenOwnerSaysNothingIsNotRun(t *testing.T) {
+	b := newBench(t, nil)
+	w := b.submit(b.request("r", "a", nil))
+	b.step(&scheduler.Cancel{Key: scheduler.RequestKey{Queue: "q", Team: "a", ID: "r"}})
+	b.step(&scheduler.Freeze{})
+	b.end(0, core.AttemptRefused)
+	b.requireReply(w, core.Unknown, core.ReasonCancelled)
+}
+
 func TestFrozenOwnerReportsNothing(t *testing.T) {
 	b := newBench(t, nil)
 	b.submit(b.request("r", "a", nil))
--- a/io/executor/client.go
+++ b/io/executor/client.go
@@ -33,10 +33,16 @@
 	MaxAnswer int64
 }
 
-// NewClient returns a client with a transport of its own.
-func NewClient() *Client {
+// DialFunc opens a connection.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// NewClient returns a client with a transport of its own; dial may be nil.
+func NewClient(dial DialFunc) *Client {
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:         dial,
 		MaxConnsPerHost:     maxConnections,
 		MaxIdleConnsPerHost: maxConnections,
 		IdleConnTimeout:     idleTimeout,
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -28,10 +28,16 @@
 	HTTP *http.Client
 }
 
-// NewClient returns a client with a transport of its own.
-func NewClient() *Client {
+// DialFunc opens a connection.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// NewClient returns a client with a transport of its own; dial may be nil.
+func NewClient(dial DialFunc) *Client {
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
 	return &Client{HTTP: &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:         dial,
 		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
--- a/node/lease.go
+++ b/node/lease.go
@@ -133,6 +133,9 @@
 		k.announceLeaving(ctx)
 		err := k.renew(ctx)
 		switch {
+		case err == nil && !time.Now().Before(k.until):
+			// The node gave up what it owned before the answer came.
+			return
 		case err == nil:
 			k.until = sentAt.Add(k.ttl() - leaseMargin)
 			k.node.send(k.node.membership, &leaseRenewed{until: k.until})
--- a/node/node.go
+++ b/node/node.go
@@ -41,6 +41,8 @@
 	Caller   net.Listener
 	Peer     net.Listener
 	Operator net.Listener
+	// Dial opens the connections to peers and executors.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Node is one entry VM's process.
@@ -89,7 +91,7 @@
 		seed:     new(maphash.Hash).Sum64(),
 		store:    d.Store,
 		executor: d.Executor,
-		peers:    peer.NewClient(),
+		peers:    peer.NewClient(d.Dial),
 		system:   actor.NewActorSystem(actor.WithLoggerFactory(quietLogger)),
 		stopped:  make(chan struct{}),
 	}
@@ -100,7 +102,7 @@
 		n.log.zap = zap.NewNop()
 	}
 	if n.executor == nil {
-		n.executor = executor.NewClient()
+		n.executor = executor.NewClient(d.Dial)
 	}
 	if n.store == nil {
 		store, err := openStore(s.Store)
@@ -287,8 +289,11 @@
 	<-n.stopped
 }
 
-// spawn runs f until the node ends.
+// spawn runs f until the node ends; after the end it does nothing.
 func (n *Node) spawn(f func(context.Context)) {
+	if n.ctx.Err() != nil {
+		return
+	}
 	n.tasks.Go(func() { f(n.ctx) })
 }
 
