--- a/common/header/header.go
+++ b/common/header/header.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"strings"
 )
 
@@ -60,11 +61,17 @@
 	}
 }
 
-// CopyTrailer adds the trailers of src to dst after the body was written.
-func CopyTrailer(dst, src http.Header) {
-	for name, values := range src {
-		for _, v := range values {
-			dst.Add(http.TrailerPrefix+name, v)
-		}
+// WriteWhole sends a body in a way that lets the receiver notice a cut: with
+// its length, or in chunks where trailers follow.
+func WriteWhole(w http.ResponseWriter, status int, trailer http.Header, body []byte) {
+	for name := range trailer {
+		w.Header().Add("Trailer", name)
+	}
+	if len(trailer) == 0 {
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
+	w.WriteHeader(status)
+	// A failed write means that the receiver is gone, which needs no answer.
+	_, _ = w.Write(body)
+	Copy(w.Header(), trailer)
 }
--- a/io/caller/answer.go
+++ b/io/caller/answer.go
@@ -110,11 +110,5 @@
 func writeAnswer(w http.ResponseWriter, id string, a *core.Answer) {
 	header.Copy(w.Header(), a.Header)
 	setOutcome(w, id, core.Done.String())
-	if len(a.Trailer) == 0 {
-		w.Header().Set("Content-Length", strconv.Itoa(len(a.Body)))
-	}
-	w.WriteHeader(a.Status)
-	// A failed write means that the caller is gone, which needs no answer.
-	_, _ = w.Write(a.Body)
-	header.CopyTrailer(w.Header(), a.Trailer)
+	header.WriteWhole(w, a.Status, a.Trailer, a.Body)
 }
--- a/io/peer/message.go
+++ b/io/peer/message.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"strconv"
 	"time"
 
 	"jacinthwind/common/header"
@@ -123,13 +122,7 @@
 	}
 	header.Copy(w.Header(), answer.Header)
 	w.Header().Set(header.Meta, string(raw))
-	if len(answer.Trailer) == 0 {
-		w.Header().Set("Content-Length", strconv.Itoa(len(answer.Body)))
-	}
-	w.WriteHeader(http.StatusOK)
-	// A failed write means that the sender is gone, which needs no answer.
-	_, _ = w.Write(answer.Body)
-	header.CopyTrailer(w.Header(), answer.Trailer)
+	header.WriteWhole(w, http.StatusOK, answer.Trailer, answer.Body)
 }
 
 func readReply(resp *http.Response, body []byte) (Reply, error) {
--- /dev/null
+++ b/io/peer/message_test.go
@@ -0,0 +1,128 @@
+package peer
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"jacinthwind/common/header"
+	"jacinthwind/core"
+)
+
+func newSubmission() *Submission {
+	now := time.UnixMilli(1_800_000_000_000)
+	return &Submission{Place: Place{Pool: "p", Epoch: 3}, SentAt: now, Request: &core.Request{
+		ID: "r", IssuedAt: now, Queue: "q", Team: "a", KeyHash: "h", Priority: core.Urgent, Idempotent: true,
+		Deadline: now.Add(time.Second),
+	}}
+}
+
+func TestSubmissionHeader(t *testing.T) {
+	s := newSubmission()
+	text, err := encodeMeta(s)
+	require.NoError(t, err)
+	got, err := decodeMeta(text)
+	require.NoError(t, err)
+	require.Equal(t, s, got)
+}
+
+func TestBadSubmissions(t *testing.T) {
+	text, err := encodeMeta(newSubmission())
+	require.NoError(t, err)
+	tests := []struct {
+		name, meta, version, body string
+		status                    int
+	}{
+		{"another protocol version", text, "2", "", http.StatusUpgradeRequired},
+		{"no header", "", ProtocolVersion, "", http.StatusBadRequest},
+		{"header cut short", text[:20], ProtocolVersion, "", http.StatusBadRequest},
+		{"no id", strings.Replace(text, `"id":"r"`, `"id":""`, 1), ProtocolVersion, "", http.StatusBadRequest},
+		{"unknown priority", strings.Replace(text, `"priority":1`, `"priority":9`, 1), ProtocolVersion, "", http.StatusBadRequest},
+		{"body over the limit", text, ProtocolVersion, strings.Repeat("x", 11), http.StatusBadRequest},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := httptest.NewRequest(http.MethodPost, PathSubmit, strings.NewReader(tt.body))
+			r.Header.Set(header.Meta, tt.meta)
+			r.Header.Set(header.Protocol, tt.version)
+			w := httptest.NewRecorder()
+			// Nothing reaches the service, so that none is needed.
+			Handler(nil, 10).ServeHTTP(w, r)
+			require.Equal(t, tt.status, w.Code, w.Body.String())
+		})
+	}
+}
+
+func TestReplyCarriesTheWholeAnswer(t *testing.T) {
+	want := Reply{Taken: true, Result: core.Result{Outcome: core.Done, Answer: &core.Answer{Status: 418, Payload: core.Payload{
+		Header: http.Header{"X-Seal": {"7"}}, Trailer: http.Header{"X-Checksum": {"9"}}, Body: []byte("whole"),
+	}}}}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { writeReply(w, want) }))
+	defer server.Close()
+	s := newSubmission()
+	s.Request.Payload = &core.Payload{}
+	got, err := NewClient(nil).Submit(t.Context(), server.Listener.Addr().String(), s)
+	require.NoError(t, err)
+	require.True(t, got.Taken)
+	require.Equal(t, 418, got.Result.Answer.Status)
+	require.Equal(t, "whole", string(got.Result.Answer.Body))
+	require.Equal(t, "7", got.Result.Answer.Header.Get("X-Seal"))
+	require.Equal(t, "9", got.Result.Answer.Trailer.Get("X-Checksum"))
+}
+
+func TestPeerFaults(t *testing.T) {
+	tests := []struct {
+		name    string
+		serve   http.HandlerFunc
+		notSent bool
+	}{
+		{"cut in the answer", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "10")
+			_, _ = w.Write([]byte("half"))
+			panic(http.ErrAbortHandler)
+		}, false},
+		{"no reply header", func(http.ResponseWriter, *http.Request) {}, false},
+		{"unknown outcome", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set(header.Meta, `{"outcome":"x"}`) }, false},
+		{"error status", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(500) }, false},
+		{"nobody listens", nil, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			server := httptest.NewServer(tt.serve)
+			defer server.Close()
+			if tt.serve == nil {
+				server.Close()
+			}
+			s := newSubmission()
+			s.Request.Payload = &core.Payload{Body: []byte("b")}
+			_, err := NewClient(nil).Submit(t.Context(), server.Listener.Addr().String(), s)
+			require.Error(t, err)
+			if tt.notSent {
+				require.ErrorIs(t, err, ErrNotSent)
+				return
+			}
+			require.NotErrorIs(t, err, ErrNotSent)
+		})
+	}
+}
+
+func FuzzDecodeMeta(f *testing.F) {
+	text, err := encodeMeta(newSubmission())
+	require.NoError(f, err)
+	f.Add(text)
+	f.Add(`{"id":"r","queue":"q","deadline_ms":1,"sent_ms":-1,"epoch":18446744073709551615}`)
+	f.Fuzz(func(t *testing.T, text string) {
+		s, err := decodeMeta(text)
+		if err != nil {
+			return
+		}
+		again, err := encodeMeta(s)
+		require.NoError(t, err)
+		_, err = decodeMeta(again)
+		require.NoError(t, err)
+	})
+}
