--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -27,6 +27,7 @@
 // cluster is a deployment of whole nodes over in-memory links.
 type cluster struct {
 	t         *testing.T
+	lease     time.Duration
 	rand      *rand.Rand
 	network   *network
 	store     store.Memory
@@ -104,8 +105,8 @@
 	clusterLease     = 3 * time.Second
 )
 
-func newCluster(t *testing.T, seed uint64, nodes int) *cluster {
-	c := &cluster{t: t, rand: rand.New(rand.NewPCG(seed, 3)), network: newNetwork(), log: zap.NewNop()}
+func newCluster(t *testing.T, seed uint64, nodes int, lease time.Duration) *cluster {
+	c := &cluster{t: t, lease: lease, rand: rand.New(rand.NewPCG(seed, 3)), network: newNetwork(), log: zap.NewNop()}
 	if testing.Verbose() {
 		c.log = zaptest.NewLogger(t, zaptest.Level(zap.InfoLevel))
 	}
@@ -154,7 +155,7 @@
 	i := len(c.nodes)
 	s := &cutStore{Store: &c.store}
 	n, err := node.New(node.Settings{
-		Name: name, DataCentre: "dc0", LeaseMS: int(clusterLease.Milliseconds()), ShutdownMS: 15_000,
+		Name: name, DataCentre: "dc0", LeaseMS: int(c.lease.Milliseconds()), ShutdownMS: 15_000,
 	}, node.Dependencies{
 		Store: s, Log: c.log, Dial: c.network.dialFrom(name),
 		Caller:   c.network.listen(fmt.Sprintf("10.0.%d.1:1", i)),
--- a/node/random_test.go
+++ b/node/random_test.go
@@ -48,7 +48,7 @@
 }
 
 func runFaults(t *testing.T, seed uint64) {
-	c := newCluster(t, seed, 9)
+	c := newCluster(t, seed, 9, clusterLease)
 	defer c.close()
 	for range 20 {
 		for range c.rand.IntN(40) {
