--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -209,6 +209,9 @@
 		_ = s.Close()
 	}
 	c.wg.Wait()
+	// The actor library counts undelivered messages in a goroutine that ends
+	// after some time.
+	time.Sleep(10 * time.Second)
 }
 
 // submit sends a new request to one or two nodes.
--- a/node/network_test.go
+++ b/node/network_test.go
@@ -66,6 +66,14 @@
 	}
 }
 
+// toggleCut cuts a host off or heals it.
+func (n *network) toggleCut(host string) {
+	n.mu.Lock()
+	cut := !n.cut[host]
+	n.mu.Unlock()
+	n.setCut(host, cut)
+}
+
 // setCut cuts a host's outgoing connections and keeps it from opening others,
 // or heals it.
 func (n *network) setCut(host string, cut bool) {
--- a/node/random_test.go
+++ b/node/random_test.go
@@ -68,7 +68,7 @@
 	live := c.live()
 	n := live[c.rand.IntN(len(live))]
 	e := c.executors[c.rand.IntN(len(c.executors))]
-	switch c.rand.IntN(12) {
+	switch c.rand.IntN(13) {
 	case 0:
 		c.store.SetFaults(store.Faults{Down: true})
 	case 1:
@@ -89,6 +89,8 @@
 		e.SetFaults(target.Faults{CutAnswers: c.rand.IntN(2) == 0, RefuseAll: c.rand.IntN(4) == 0})
 	case 10:
 		c.toggleOut()
+	case 12:
+		c.network.toggleCut(n.name)
 	case 11:
 		// All leases lapse together.
 		c.store.SetFaults(store.Faults{Down: true})
@@ -127,6 +129,7 @@
 	c.store.SetFaults(store.Faults{})
 	for _, n := range c.live() {
 		n.store.cut.Store(false)
+		c.network.setCut(n.name, false)
 	}
 	for _, e := range c.executors {
 		e.SetFaults(target.Faults{})
