Go on without the store by the promises of a majority

Cause: nodes stopped owning 4.7 s after the store went down, and a node that alone lost the store kept routing by what it knew. Ways weighed: go on for ever (two owners once the store is back), stop (no work for an hour), a majority of the nodes that the assignment names. Change: an owner whose renewal gets no answer asks the voters of the assignment; those that miss the store, too, and know the same assignment and no later configuration promise 3 s at a time. Who proposes an assignment that deposes an owner or names other voters first gets a majority to give no more promises and waits for theirs to end. A node listed again under its id first writes the assignment anew, so that a proposal from an older list loses. Nodes without the store learn members, assignment and changes from peers. 'node forget' takes an operator's word for VMs that are gone for good. What a node owned that dies during an outage waits for the store.

--- a/commands/commands.go
+++ b/commands/commands.go
@@ -41,6 +41,7 @@
 	Key    keyCommand    `cmd:"" help:"Grant and withdraw the teams' keys."`
 	Pool   poolCommand   `cmd:"" help:"Look at pools."`
 	Team   teamCommand   `cmd:"" help:"Look at teams."`
+	Node   nodeCommand   `cmd:"" help:"Tell what is known of nodes."`
 	Status statusCommand `cmd:"" help:"Show every node with the revision that it has in force."`
 	Dump   dumpCommand   `cmd:"" help:"Print the whole state of one node as JSON."`
 	Submit submitCommand `cmd:"" help:"Hand in a request as a caller."`
--- a/commands/list.go
+++ b/commands/list.go
@@ -8,6 +8,7 @@
 	"github.com/jedib0t/go-pretty/v6/table"
 
 	"jacinthwind/core/config"
+	"jacinthwind/io/operator"
 )
 
 type poolCommand struct {
@@ -152,3 +153,21 @@
 	}
 	return printJSON(s.out, dump)
 }
+
+type nodeCommand struct {
+	Forget nodeForget `cmd:"" help:"Say that the VM of a node is gone for good, so that its vote is not waited for."`
+}
+
+type nodeForget struct {
+	nodeFlags
+	ID string `arg:"" help:"Id of the node, as in the voters of a dump."`
+}
+
+// Run implements the command.
+func (c *nodeForget) Run(ctx context.Context, s *streams) error {
+	if err := c.client().Forget(ctx, operator.ForgetQuery{ID: c.ID, Author: author()}); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintf(s.out, "node %s is forgotten\n", c.ID)
+	return err
+}
--- a/core/membership/assignment.go
+++ b/core/membership/assignment.go
@@ -61,6 +61,9 @@
 // Assignment is the record in the store that says who owns what.
 type Assignment struct {
 	Shards map[Shard]Owner `json:"shards"`
+	// Voters maps the ids of the nodes that decide by majority under this record
+	// to their addresses.
+	Voters map[string]string `json:"voters,omitempty"`
 	// Revision is the store revision of the record, zero where there is none.
 	Revision int64 `json:"-"`
 }
@@ -71,7 +74,7 @@
 	if shards == nil {
 		shards = make(map[Shard]Owner)
 	}
-	return Assignment{Shards: shards, Revision: a.Revision}
+	return Assignment{Shards: shards, Voters: maps.Clone(a.Voters), Revision: a.Revision}
 }
 
 // SortedShards returns the assigned shards in order.
--- a/core/membership/kernel.go
+++ b/core/membership/kernel.go
@@ -21,6 +21,8 @@
 	writeTimeout = 2 * time.Second
 	// writeRetryWait is the time between a write that failed and the next one.
 	writeRetryWait = 300 * time.Millisecond
+	// lockRetryWait is the time between two questions to the voters.
+	lockRetryWait = time.Second
 	// handoverRetryWait is the time between a handover that did not begin and
 	// the next one.
 	handoverRetryWait = 300 * time.Millisecond
@@ -38,6 +40,9 @@
 	// Write is the assignment to write, nil for none; its Revision is the one
 	// that the write expects.
 	Write *Assignment
+	// Lock asks the voters of the present assignment to let no owner go on
+	// without the store.
+	Lock bool
 	// Handovers are the shards whose state is to be sent to their next owner.
 	Handovers []Handover
 	Notes     []event.Note
@@ -92,12 +97,27 @@
 	writeAfter time.Time
 	movedAt    time.Time
 
+	// restoredAt is the store revision at which this node was listed again.
+	restoredAt int64
+	// lock is the progress of a proposal.
+	lock lock
 	// handAfter keeps a node from repeating a handover that failed at once.
 	handAfter time.Time
 
 	effects Effects
 }
 
+// lock says how far the voters have been asked about a revision.
+type lock struct {
+	revision int64
+	asked    bool
+	askedAt  time.Time
+	// until is when the promises of the voters have ended, set once a majority
+	// gives no more of them.
+	until  time.Time
+	gained bool
+}
+
 type handing struct {
 	Handover
 	sent bool
@@ -108,20 +128,49 @@
 	k.begin(now)
 	k.self = self
 	k.leaseUntil = until
+	k.restoredAt = 0
 	k.note(event.LeaseGranted, self.ID, "")
 	return k.decide()
 }
 
-// LeaseRenewed extends the lease.
+// LeaseRenewed extends the ownership by a renewal of the lease in the store.
 func (k *Kernel) LeaseRenewed(now, until time.Time) *Effects {
 	k.begin(now)
-	// Ownership that has run out once does not come back under the same id.
+	if !k.needsTouch() {
+		k.extend(until)
+	}
+	return k.decide()
+}
+
+// Promised extends the ownership by the promises of a majority of the voters.
+func (k *Kernel) Promised(now, until time.Time) *Effects {
+	k.begin(now)
+	k.extend(until)
+	return k.decide()
+}
+
+// extend moves the end of the ownership; one that has run out does not come
+// back under the same id.
+func (k *Kernel) extend(until time.Time) {
 	if k.hasLease() && until.After(k.leaseUntil) {
 		k.leaseUntil = until
 	}
+}
+
+// Restored tells that this node was listed again under its id, at a revision of
+// the store, after its lease had lapsed while it went on by promises. Another
+// node may have read the list without it, so that the lease counts only once an
+// assignment was written that only a reader of the present list can replace.
+func (k *Kernel) Restored(now time.Time, revision int64) *Effects {
+	k.begin(now)
+	k.restoredAt = revision
 	return k.decide()
 }
 
+func (k *Kernel) needsTouch() bool {
+	return k.assignment.Revision < k.restoredAt
+}
+
 // LeaseLost ends this incarnation and everything it owns.
 func (k *Kernel) LeaseLost(now time.Time) *Effects {
 	k.begin(now)
@@ -248,6 +297,11 @@
 	return k.members
 }
 
+// MembersRevision is the store revision at which the members are known.
+func (k *Kernel) MembersRevision() int64 {
+	return k.membersRevision
+}
+
 // IsEmpty reports whether this node owns nothing.
 func (k *Kernel) IsEmpty() bool {
 	return len(k.active) == 0
@@ -397,39 +451,76 @@
 		}
 		k.writing = false
 	}
+	if k.now.Before(k.writeAfter) {
+		return
+	}
+	if k.needsTouch() {
+		touch := k.handedOverOnly()
+		k.write(&touch.next)
+		return
+	}
 	// A list from before the record was written may lack its owners.
-	if k.now.Before(k.writeAfter) || k.membersRevision < k.assignment.Revision {
+	if k.membersRevision < k.assignment.Revision {
 		return
 	}
-	next, changed, urgent := k.nextAssignment()
-	if !changed {
+	p := k.nextAssignment()
+	if !p.isNeeded() && !k.owesWrite() {
 		k.wantedAt = time.Time{}
 		return
 	}
 	if k.wantedAt.IsZero() {
 		k.wantedAt = k.now
 	}
-	if !urgent && k.now.Sub(k.wantedAt) < time.Duration(k.rank())*proposeStagger {
+	if !p.handedOver && k.now.Sub(k.wantedAt) < time.Duration(k.rank())*proposeStagger {
 		return
 	}
+	if (p.needsLock() || k.owesWrite()) && !k.holdsLock() {
+		k.askForLock()
+		if !p.handedOver {
+			return
+		}
+		// What was handed over needs nobody's consent.
+		p = k.handedOverOnly()
+	}
+	k.write(&p.next)
+}
+
+func (k *Kernel) write(next *Assignment) {
 	k.writing = true
 	k.writeAt = k.now
 	k.wantedAt = time.Time{}
-	k.effects.Write = &next
+	k.effects.Write = next
 	k.note(event.AssignmentWritten, k.self.ID, fmt.Sprintf("after revision %d", next.Revision))
 }
 
-// nextAssignment returns the record that should follow the present one; it is
-// urgent where this node's own handovers wait for it.
-func (k *Kernel) nextAssignment() (next Assignment, changed, urgent bool) {
-	next = k.assignment.Clone()
+// proposal is the record that should follow the present one.
+type proposal struct {
+	next Assignment
+	// handedOver means that it names the next owners of what this node handed
+	// over.
+	handedOver bool
+	// deposes means that it takes shards from owners that are gone.
+	deposes bool
+	// revotes means that it has other voters.
+	revotes bool
+}
+
+func (p *proposal) isNeeded() bool {
+	return p.handedOver || p.deposes || p.revotes
+}
+
+// needsLock reports whether an owner may rely on a majority that the proposal
+// takes away.
+func (p *proposal) needsLock() bool {
+	return p.deposes || p.revotes
+}
+
+// nextAssignment returns the record that should follow the present one.
+func (k *Kernel) nextAssignment() proposal {
+	p := k.handedOverOnly()
 	for _, s := range k.shards {
-		owner := next.Shards[s]
-		if h, ok := k.handing[s]; ok {
-			if h.sent {
-				next.Shards[s] = k.successor(s, owner, h)
-				changed, urgent = true, true
-			}
+		owner := p.next.Shards[s]
+		if _, handing := k.handing[s]; handing {
 			continue
 		}
 		if _, alive := k.members[owner.Node]; alive {
@@ -439,13 +530,72 @@
 		if !ok {
 			continue
 		}
-		next.Shards[s] = Owner{Node: to.ID, Epoch: owner.Epoch + 1}
-		changed = true
+		p.next.Shards[s] = Owner{Node: to.ID, Epoch: owner.Epoch + 1}
+		p.deposes = true
+	}
+	voters := k.voters()
+	p.revotes = !maps.Equal(voters, p.next.Voters)
+	p.next.Voters = voters
+	return p
+}
+
+// handedOverOnly returns the record with the handovers that have been sent.
+func (k *Kernel) handedOverOnly() proposal {
+	p := proposal{next: k.assignment.Clone()}
+	for _, s := range k.shards {
+		if h, ok := k.handing[s]; ok && h.sent {
+			owner := p.next.Shards[s]
+			p.next.Shards[s] = k.successor(s, owner, h)
+			p.handedOver = p.handedOver || p.next.Shards[s] != owner
+		}
 	}
-	return next, changed, urgent
+	return p
+}
+
+func (k *Kernel) voters() map[string]string {
+	voters := make(map[string]string, len(k.members))
+	for id, m := range k.members {
+		voters[id] = m.Address
+	}
+	return voters
+}
+
+// askForLock asks the voters once, and again after some time without success.
+func (k *Kernel) askForLock() {
+	if k.owesWrite() && (k.lock.gained || k.now.Sub(k.lock.askedAt) < lockRetryWait) {
+		return
+	}
+	k.lock = lock{revision: k.assignment.Revision, asked: true, askedAt: k.now}
+	k.effects.Lock = true
+}
+
+// owesWrite reports whether voters were asked to lock the present assignment:
+// only a new one lets them give promises again.
+func (k *Kernel) owesWrite() bool {
+	return k.lock.asked && k.lock.revision == k.assignment.Revision
+}
+
+// holdsLock reports whether no owner goes on by the voters' promises.
+func (k *Kernel) holdsLock() bool {
+	if len(k.assignment.Voters) == 0 {
+		return true
+	}
+	return k.lock.gained && k.lock.revision == k.assignment.Revision && !k.now.Before(k.lock.until)
+}
+
+// LocksGathered takes the answers of the voters of an assignment: how many give
+// no more promises, and until when the latest one lasts.
+func (k *Kernel) LocksGathered(now time.Time, revision int64, granted int, until time.Time) *Effects {
+	k.begin(now)
+	if revision == k.lock.revision && revision == k.assignment.Revision && k.assignment.IsMajority(granted) {
+		k.lock.gained = true
+		k.lock.until = until
+	}
+	return k.decide()
 }
 
-// successor is the owner after a handover.
+// successor is the owner after a handover, the present one where there is no
+// other.
 func (k *Kernel) successor(s Shard, owner Owner, h *handing) Owner {
 	if _, alive := k.members[h.To.ID]; alive {
 		return Owner{Node: h.To.ID, Epoch: owner.Epoch + 1, Clean: true}
--- a/core/membership/kernel_test.go
+++ b/core/membership/kernel_test.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -22,6 +24,7 @@
 	nodes      []*clusterNode
 	// calm keeps messages from getting lost.
 	calm   bool
+	down   bool
 	shards []membership.Shard
 	next   int
 }
@@ -29,10 +32,14 @@
 type clusterNode struct {
 	kernel membership.Kernel
 	self   membership.Member
+	voter  membership.Voter
 	until  time.Time
-	leased bool
-	active map[membership.Shard]uint64
-	frozen map[membership.Shard]bool
+	// storeUntil is when the store lets the lease lapse.
+	storeUntil time.Time
+	leased     bool
+	cut        bool
+	active     map[membership.Shard]uint64
+	frozen     map[membership.Shard]bool
 }
 
 const leaseTTL = 5 * time.Second
@@ -83,6 +90,9 @@
 		c.now = c.now.Add(10 * time.Millisecond)
 		c.carryOut(n, n.kernel.HandoverEnded(c.now, h.Shard, result))
 	}
+	if fx.Lock {
+		c.lock(n)
+	}
 	if fx.Write != nil {
 		c.write(n, fx.Write)
 	}
@@ -90,6 +100,10 @@
 
 // write is a compare-and-swap whose answer may get lost.
 func (c *cluster) write(n *clusterNode, next *membership.Assignment) {
+	if !c.reaches(n) {
+		c.carryOut(n, n.kernel.WriteFailed(c.now))
+		return
+	}
 	won := next.Revision == c.assignment.Revision
 	if won {
 		c.revision++
@@ -97,50 +111,147 @@
 		c.assignment.Revision = c.revision
 	}
 	if won && (c.calm || !rapid.Bool().Draw(c.t, "answer lost")) {
-		c.carryOut(n, n.kernel.AssignmentChanged(c.now, c.assignment))
+		c.learn(n)
 		return
 	}
 	c.carryOut(n, n.kernel.WriteFailed(c.now))
 }
 
 func (c *cluster) act(n *clusterNode) {
-	switch rapid.IntRange(0, 7).Draw(c.t, "act") {
-	case 0, 1:
-		c.carryOut(n, n.kernel.AssignmentChanged(c.now, c.assignment))
-	case 2, 3:
-		c.carryOut(n, n.kernel.MembersChanged(c.now, c.memberList(), c.revision))
-	case 4, 5:
+	switch rapid.IntRange(0, 9).Draw(c.t, "act") {
+	case 0, 1, 2:
+		c.follow(n)
+	case 4, 5, 3:
 		c.keepLease(n)
 	case 6:
 		c.carryOut(n, n.kernel.Tick(c.now))
 	case 7:
 		c.now = c.now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(c.t, "ms")) * time.Millisecond)
 		c.lapse()
+	case 8:
+		n.cut = !n.cut
+	case 9:
+		c.down = rapid.IntRange(0, 2).Draw(c.t, "down") == 0
 	}
 }
 
-// keepLease grants or renews the lease of a node.
-func (c *cluster) keepLease(n *clusterNode) {
-	until := c.now.Add(leaseTTL - 300*time.Millisecond)
-	if n.leased && c.now.Before(n.until) {
-		n.until = until
-		c.carryOut(n, n.kernel.LeaseRenewed(c.now, until))
+func (c *cluster) reaches(n *clusterNode) bool {
+	return !c.down && !n.cut
+}
+
+// follow brings a node up to date with the store, in part or as a whole.
+func (c *cluster) follow(n *clusterNode) {
+	if !c.reaches(n) {
 		return
 	}
+	if rapid.Bool().Draw(c.t, "members first") {
+		c.carryOut(n, n.kernel.MembersChanged(c.now, c.memberList(), c.revision))
+	}
+	c.learn(n)
+}
+
+func (c *cluster) learn(n *clusterNode) {
+	n.voter.Learn(c.assignment.Revision)
+	c.carryOut(n, n.kernel.AssignmentChanged(c.now, c.assignment))
+}
+
+// keepLease renews the lease of a node, lets it go on by promises where it does
+// not reach the store, or begins another incarnation.
+func (c *cluster) keepLease(n *clusterNode) {
+	owning := n.leased && c.now.Before(n.until)
+	switch {
+	case !c.reaches(n) && owning:
+		c.goOn(n)
+	case !c.reaches(n):
+	case owning:
+		if _, listed := c.members[n.self.ID]; !listed {
+			c.revision++
+			c.members[n.self.ID] = n.self
+			c.carryOut(n, n.kernel.Restored(c.now, c.revision))
+		}
+		n.storeUntil = c.now.Add(leaseTTL)
+		c.carryOut(n, n.kernel.LeaseRenewed(c.now, c.now.Add(leaseTTL-300*time.Millisecond)))
+		n.until = n.kernel.OwnedUntil()
+	default:
+		c.restart(n)
+	}
+}
+
+func (c *cluster) restart(n *clusterNode) {
 	c.remove(n)
 	c.carryOut(n, n.kernel.LeaseLost(c.now))
 	c.next++
 	n.self = membership.Member{ID: fmt.Sprintf("n%d", c.next)}
-	n.until, n.leased = until, true
+	n.voter = membership.Voter{}
+	n.voter.Learn(n.kernel.Assignment().Revision)
+	n.until, n.storeUntil, n.leased = c.now.Add(leaseTTL-300*time.Millisecond), c.now.Add(leaseTTL), true
 	c.revision++
 	c.members[n.self.ID] = n.self
-	c.carryOut(n, n.kernel.LeaseGranted(c.now, n.self, until))
+	c.carryOut(n, n.kernel.LeaseGranted(c.now, n.self, n.until))
+}
+
+// goOn asks the voters for promises, some of which get lost.
+func (c *cluster) goOn(n *clusterNode) {
+	a := n.kernel.Assignment()
+	granted := 0
+	for _, id := range slices.Sorted(maps.Keys(a.Voters)) {
+		m := c.nodeOf(id)
+		if m == nil || rapid.IntRange(0, 4).Draw(c.t, "promise lost") == 0 {
+			continue
+		}
+		if m.voter.Promise(c.now, membership.PromiseQuery{ID: n.self.ID, Assignment: a.Revision}, !c.reaches(m), 0) {
+			granted++
+		}
+	}
+	if len(a.Voters) > 0 && a.IsMajority(granted) {
+		c.carryOut(n, n.kernel.Promised(c.now, membership.PromisedUntil(c.now)))
+		n.until = n.kernel.OwnedUntil()
+	}
+}
+
+// lock asks the voters to let nobody go on; those that are gone have ended
+// their promises after the longest time of one.
+func (c *cluster) lock(n *clusterNode) {
+	a := n.kernel.Assignment()
+	granted := 0
+	until := c.now
+	for _, id := range slices.Sorted(maps.Keys(a.Voters)) {
+		if !c.calm && rapid.IntRange(0, 4).Draw(c.t, "lock lost") == 0 {
+			continue
+		}
+		ok, wait := true, membership.PromiseTime
+		if m := c.nodeOf(id); m != nil {
+			ok, wait = m.voter.Lock(c.now, membership.LockQuery{Assignment: a.Revision})
+		}
+		if ok {
+			granted++
+			until = maxTime(until, c.now.Add(wait))
+		}
+	}
+	c.carryOut(n, n.kernel.LocksGathered(c.now, a.Revision, granted, until))
+}
+
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// nodeOf returns the node that runs an incarnation, nil where it is gone.
+func (c *cluster) nodeOf(id string) *clusterNode {
+	for _, n := range c.nodes {
+		if n.self.ID == id {
+			return n
+		}
+	}
+	return nil
 }
 
 // lapse ends the leases in the store that were not renewed in time.
 func (c *cluster) lapse() {
 	for _, n := range c.nodes {
-		if n.leased && !c.now.Before(n.until.Add(300*time.Millisecond)) {
+		if n.leased && !c.now.Before(n.storeUntil) {
 			c.remove(n)
 		}
 	}
@@ -172,14 +283,17 @@
 // settle lets all nodes follow the store closely and checks that every shard
 // gets an owner.
 func (c *cluster) settle() {
-	c.calm = true
+	c.calm, c.down = true, false
+	for _, n := range c.nodes {
+		n.cut = false
+	}
 	owned := 0
 	for round := 0; round < 100 || (owned < len(c.shards) && round < 300); round++ {
 		c.now = c.now.Add(100 * time.Millisecond)
 		for _, n := range c.nodes {
 			c.keepLease(n)
 			c.carryOut(n, n.kernel.MembersChanged(c.now, c.memberList(), c.revision))
-			c.carryOut(n, n.kernel.AssignmentChanged(c.now, c.assignment))
+			c.learn(n)
 		}
 		c.lapse()
 		owned = 0
@@ -187,7 +301,10 @@
 			owned += len(n.active)
 		}
 	}
-	require.Equal(c.t, len(c.shards), owned)
+	for _, n := range c.nodes {
+		c.t.Logf("%s owns %v until %v, frozen %v", n.self.ID, n.active, n.until.Sub(c.now), n.frozen)
+	}
+	require.Equal(c.t, len(c.shards), owned, "%v of members %v", c.assignment, c.members)
 }
 
 func TestLeaveHandsEverythingOver(t *testing.T) {
@@ -199,6 +316,7 @@
 	k.LeaseGranted(now, membership.Member{ID: "x"}, now.Add(time.Hour))
 	fx := k.AssignmentChanged(now, membership.Assignment{
 		Shards: map[membership.Shard]membership.Owner{shard: {Node: "x", Epoch: 4}}, Revision: 9,
+		Voters: map[string]string{"x": "", "y": ""},
 	})
 	require.Equal(t, []membership.Activate{{Shard: shard, Epoch: 4}}, fx.Activate)
 	fx = k.Leave(now)
@@ -212,6 +330,25 @@
 	require.True(t, k.IsEmpty())
 }
 
+// TestNobodyToHandOverTo covers a node that leaves when no other is listed any
+// more; it once wrote the same record without end.
+func TestNobodyToHandOverTo(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	shard := membership.Shard{Kind: membership.KindTeam, Name: "a"}
+	var k membership.Kernel
+	k.ShardsChanged(now, []membership.Shard{shard})
+	k.MembersChanged(now, []membership.Member{{ID: "x"}, {ID: "y"}}, 9)
+	k.LeaseGranted(now, membership.Member{ID: "x"}, now.Add(time.Hour))
+	k.AssignmentChanged(now, membership.Assignment{
+		Shards: map[membership.Shard]membership.Owner{shard: {Node: "x", Epoch: 4}}, Revision: 9,
+		Voters: map[string]string{"x": "", "y": ""},
+	})
+	k.Leave(now)
+	k.MembersChanged(now, []membership.Member{{ID: "x"}}, 10)
+	fx := k.HandoverEnded(now, shard, membership.HandoverDone)
+	require.Nil(t, fx.Write)
+}
+
 func TestAnOlderAssignmentIsIgnored(t *testing.T) {
 	now := time.Unix(1_800_000_000, 0)
 	shard := membership.Shard{Kind: membership.KindPool, Name: "p"}
@@ -245,10 +382,15 @@
 	k.LeaseGranted(now, membership.Member{ID: "x"}, now.Add(time.Hour))
 	k.AssignmentChanged(now, membership.Assignment{
 		Shards: map[membership.Shard]membership.Owner{shard: {Node: "y", Epoch: 1}}, Revision: 10,
+		Voters: map[string]string{"x": "", "y": ""},
 	})
 	fx := k.MembersChanged(now, []membership.Member{{ID: "x"}}, 9)
-	require.Nil(t, fx.Write, "y may have joined at revision 10")
+	require.False(t, fx.Lock, "y may have joined at revision 10")
 	fx = k.MembersChanged(now, []membership.Member{{ID: "x"}}, 10)
+	require.True(t, fx.Lock)
+	require.Nil(t, fx.Write)
+	require.Nil(t, k.LocksGathered(now, 10, 1, now).Write, "one of two is no majority")
+	fx = k.LocksGathered(now, 10, 2, now)
 	require.Equal(t, membership.Owner{Node: "x", Epoch: 2}, fx.Write.Shards[shard])
 }
 
--- a/io/operator/client.go
+++ b/io/operator/client.go
@@ -48,6 +48,12 @@
 	return call[ChangeReply](ctx, c, http.MethodPost, PathChanges, q)
 }
 
+// Forget says that the VM of a node is gone for good.
+func (c *Client) Forget(ctx context.Context, q ForgetQuery) error {
+	_, err := call[ForgetReply](ctx, c, http.MethodPost, PathForget, q)
+	return err
+}
+
 // Status returns the status of all nodes.
 func (c *Client) Status(ctx context.Context) (StatusReply, error) {
 	return call[StatusReply](ctx, c, http.MethodGet, PathStatus, nil)
--- a/io/operator/handler.go
+++ b/io/operator/handler.go
@@ -15,6 +15,7 @@
 	Config(ctx context.Context) (ConfigReply, error)
 	History(ctx context.Context, count int) ([]config.Change, error)
 	Apply(ctx context.Context, q ChangeQuery) (ChangeReply, error)
+	Forget(ctx context.Context, q ForgetQuery) (ForgetReply, error)
 	// Status returns the status of all live nodes.
 	Status(ctx context.Context) StatusReply
 	Dump(ctx context.Context) Dump
@@ -36,6 +37,7 @@
 		return HistoryReply{Changes: changes}, err
 	})
 	jsonhttp.Handle(mux, "POST "+PathChanges, s.Apply)
+	jsonhttp.Handle(mux, "POST "+PathForget, s.Forget)
 	jsonhttp.Handle(mux, "GET "+PathStatus, func(ctx context.Context, _ struct{}) (StatusReply, error) {
 		return s.Status(ctx), nil
 	})
--- a/io/operator/message.go
+++ b/io/operator/message.go
@@ -19,6 +19,7 @@
 	PathHistory = "/v1/operator/history"
 	PathChanges = "/v1/operator/changes"
 	PathStatus  = "/v1/operator/status"
+	PathForget  = "/v1/operator/forget"
 	PathDump    = "/debug/dump"
 	PathMetrics = "/metrics"
 )
@@ -52,6 +53,15 @@
 	ID       string `json:"id"`
 }
 
+// ForgetQuery says that the VM of a node is gone for good.
+type ForgetQuery struct {
+	ID     string `json:"id"`
+	Author string `json:"author"`
+}
+
+// ForgetReply is the answer to a ForgetQuery.
+type ForgetReply struct{}
+
 // StatusReply lists all live nodes.
 type StatusReply struct {
 	Nodes []peer.NodeStatus `json:"nodes"`
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -12,6 +12,7 @@
 
 	"jacinthwind/common/header"
 	"jacinthwind/common/jsonhttp"
+	"jacinthwind/core/membership"
 )
 
 const (
@@ -102,6 +103,21 @@
 	return err
 }
 
+// Knowledge asks a peer what it knows of the store.
+func (c *Client) Knowledge(ctx context.Context, address string, q KnowledgeQuery) (KnowledgeReply, error) {
+	return jsonhttp.Call[KnowledgeReply](ctx, c.HTTP, http.MethodPost, "http://"+address+PathKnowledge, q)
+}
+
+// Promise asks a voter to let an owner go on without the store.
+func (c *Client) Promise(ctx context.Context, address string, q membership.PromiseQuery) (VoteReply, error) {
+	return jsonhttp.Call[VoteReply](ctx, c.HTTP, http.MethodPost, "http://"+address+PathPromise, q)
+}
+
+// Lock asks a voter to let nobody go on under an assignment.
+func (c *Client) Lock(ctx context.Context, address string, q membership.LockQuery) (VoteReply, error) {
+	return jsonhttp.Call[VoteReply](ctx, c.HTTP, http.MethodPost, "http://"+address+PathLock, q)
+}
+
 // NodeStatus asks a node for its status.
 func (c *Client) NodeStatus(ctx context.Context, address string) (NodeStatus, error) {
 	return jsonhttp.Call[NodeStatus](ctx, c.HTTP, http.MethodPost, "http://"+address+PathNode, Empty{})
--- a/io/peer/handler.go
+++ b/io/peer/handler.go
@@ -9,6 +9,7 @@
 	"jacinthwind/common/header"
 	"jacinthwind/common/jsonhttp"
 	"jacinthwind/core"
+	"jacinthwind/core/membership"
 )
 
 // Service is the node's side of the calls between nodes.
@@ -19,6 +20,9 @@
 	LimitsLocal(ctx context.Context, q LimitsQuery) LimitsReply
 	HandoverLocal(ctx context.Context, q HandoverQuery) error
 	AttemptEndedLocal(ctx context.Context, q AttemptQuery) error
+	KnowledgeLocal(q KnowledgeQuery) KnowledgeReply
+	PromiseLocal(q membership.PromiseQuery) VoteReply
+	LockLocal(q membership.LockQuery) VoteReply
 	// NodeStatus returns the status of this node.
 	NodeStatus() NodeStatus
 }
@@ -45,6 +49,15 @@
 	jsonhttp.Handle(mux, "POST "+PathAttemptEnded, func(ctx context.Context, q AttemptQuery) (Empty, error) {
 		return Empty{}, s.AttemptEndedLocal(ctx, q)
 	})
+	jsonhttp.Handle(mux, "POST "+PathKnowledge, func(_ context.Context, q KnowledgeQuery) (KnowledgeReply, error) {
+		return s.KnowledgeLocal(q), nil
+	})
+	jsonhttp.Handle(mux, "POST "+PathPromise, func(_ context.Context, q membership.PromiseQuery) (VoteReply, error) {
+		return s.PromiseLocal(q), nil
+	})
+	jsonhttp.Handle(mux, "POST "+PathLock, func(_ context.Context, q membership.LockQuery) (VoteReply, error) {
+		return s.LockLocal(q), nil
+	})
 	jsonhttp.Handle(mux, "POST "+PathNode, func(context.Context, Empty) (NodeStatus, error) {
 		return s.NodeStatus(), nil
 	})
--- a/io/peer/message.go
+++ b/io/peer/message.go
@@ -8,6 +8,7 @@
 
 	"jacinthwind/common/header"
 	"jacinthwind/core"
+	"jacinthwind/core/config"
 	"jacinthwind/core/limit"
 	"jacinthwind/core/membership"
 	"jacinthwind/core/scheduler"
@@ -25,6 +26,9 @@
 	PathHandover     = "/v1/peer/handover"
 	PathAttemptEnded = "/v1/peer/attempt-ended"
 	PathNode         = "/v1/peer/node"
+	PathPromise      = "/v1/peer/promise"
+	PathLock         = "/v1/peer/lock"
+	PathKnowledge    = "/v1/peer/knowledge"
 )
 
 // Place names the owner that a message is meant for.
@@ -184,6 +188,31 @@
 	Status  core.AttemptStatus `json:"status"`
 }
 
+// KnowledgeQuery asks a peer what it knows of the store.
+type KnowledgeQuery struct {
+	// Config is the configuration revision in force at the asking node.
+	Config int64 `json:"config"`
+}
+
+// KnowledgeReply is what a peer knows of the store.
+type KnowledgeReply struct {
+	Members            []membership.Member   `json:"members"`
+	MembersRevision    int64                 `json:"members_revision"`
+	Assignment         membership.Assignment `json:"assignment"`
+	AssignmentRevision int64                 `json:"assignment_revision"`
+	// Changes are configuration changes after the asked revision, in order.
+	Changes []config.Change `json:"changes,omitempty"`
+}
+
+// VoteReply is a voter's answer to an owner or a proposer.
+type VoteReply struct {
+	// ID is the incarnation that answers.
+	ID      string `json:"id"`
+	Granted bool   `json:"granted"`
+	// WaitMS is how long the latest promise still lasts, in milliseconds.
+	WaitMS int64 `json:"wait_ms,omitempty"`
+}
+
 // NodeStatus is what a node tells of itself.
 type NodeStatus struct {
 	Name       string `json:"name"`
--- a/node/directory.go
+++ b/node/directory.go
@@ -14,6 +14,8 @@
 	self       membership.Member
 	assignment membership.Assignment
 	members    map[string]membership.Member
+	// membersRevision is the store revision at which members is known.
+	membersRevision int64
 	// pools and teams hold the actors of the shards that this node owns.
 	pools map[string]ownedActor
 	teams map[string]ownedActor
--- a/node/follow.go
+++ b/node/follow.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"jacinthwind/core"
@@ -46,10 +47,10 @@
 		switch {
 		case err == nil:
 			loaded = true
-			n.storeSeen.Store(time.Now().UnixNano())
 		case errors.Is(err, core.ErrCompacted):
 			loaded = false
 		default:
+			f.learnFromPeer(ctx)
 			sleepJitter(ctx, storeRetryWait)
 		}
 	}
@@ -106,11 +107,26 @@
 			f.node.log.Event(event.ConfigRefused, ev.Entry.Key, err.Error())
 		}
 	}
+	f.publishConfig(before)
+}
+
+// publishConfig puts the configuration in force if it is later than before.
+func (f *storeFollower) publishConfig(before int64) {
 	if f.config.State().Revision > before {
 		f.node.setView(f.config.State(), f.config.View())
 	}
 }
 
+// offer applies a change in its turn and keeps it for peers.
+func (f *storeFollower) offer(c *config.Change) {
+	if c.Revision == f.config.State().Revision+1 {
+		f.node.changes.add(*c)
+	}
+	if _, err := f.config.Offer(c); err != nil {
+		f.node.log.Event(event.ConfigRefused, c.ID, err.Error())
+	}
+}
+
 func (f *storeFollower) takeOne(ev core.StoreEvent) error {
 	switch key := ev.Entry.Key; {
 	case isMemberKey(key) && ev.Deleted:
@@ -127,13 +143,14 @@
 			return err
 		}
 		f.node.send(f.node.membership, &assignmentChanged{a})
+	case isForgottenKey(key) && !ev.Deleted:
+		f.node.forgotten.Store(strings.TrimPrefix(key, keyForgotten), struct{}{})
 	case isChangeKey(key) && !ev.Deleted:
 		var c config.Change
 		if err := json.Unmarshal(ev.Entry.Value, &c); err != nil {
 			return fmt.Errorf("configuration change: %w", err)
 		}
-		_, err := f.config.Offer(&c)
-		return err
+		f.offer(&c)
 	}
 	return nil
 }
--- a/node/key.go
+++ b/node/key.go
@@ -16,6 +16,8 @@
 	keyMembers    = keyRoot + "nodes/"
 	keyAssignment = keyRoot + "ownership/assignment"
 	keyChanges    = keyRoot + "config/log/"
+	// keyForgotten lists the nodes whose VMs are gone by an operator's word.
+	keyForgotten = keyRoot + "ownership/forgotten/"
 )
 
 // ChangeKey is the store key of a configuration change; equal lengths keep the
@@ -28,6 +30,10 @@
 	return strings.HasPrefix(key, keyMembers)
 }
 
+func isForgottenKey(key string) bool {
+	return strings.HasPrefix(key, keyForgotten)
+}
+
 func isChangeKey(key string) bool {
 	return strings.HasPrefix(key, keyChanges)
 }
--- a/node/lease.go
+++ b/node/lease.go
@@ -29,7 +29,11 @@
 		until time.Time
 	}
 	leaseRenewed struct{ until time.Time }
-	leaseLost    struct{}
+	// leasePromised tells that a majority of the voters lets the node go on.
+	leasePromised struct{ until time.Time }
+	// leaseRestored tells that the node is listed again under its id.
+	leaseRestored struct{ revision int64 }
+	leaseLost     struct{}
 )
 
 // leaseKeeper holds this node's lease in the store.
@@ -122,30 +126,78 @@
 	return nil
 }
 
-// renewUntilLost keeps the lease until it lapses or ctx ends.
+// renewUntilLost keeps the ownership until it runs out or ctx ends: by renewals
+// of the lease, or by promises of other nodes while the store gives no answer.
 func (k *leaseKeeper) renewUntilLost(ctx context.Context) {
-	wait := time.Duration(float64(k.ttl()) / renewalsPerLease)
+	wait := k.renewInterval()
 	for sleepFor(ctx, wait) {
-		sentAt := time.Now()
-		if !sentAt.Before(k.until) {
+		if k.isLost() {
 			return
 		}
 		k.announceLeaving(ctx)
+		sentAt := time.Now()
 		err := k.renew(ctx)
-		switch {
-		case err == nil && !time.Now().Before(k.until):
-			// The node gave up what it owned before the answer came.
-			return
-		case err == nil:
-			k.until = sentAt.Add(k.ttl() - leaseMargin)
-			k.node.send(k.node.membership, &leaseRenewed{until: k.until})
-			wait = time.Duration(float64(k.ttl()) / renewalsPerLease)
-		case errors.Is(err, core.ErrNotFound):
-			return
-		default:
-			wait = storeRetryWait
+		if errors.Is(err, core.ErrNotFound) {
+			err = k.restore(ctx)
 		}
+		if err == nil {
+			k.extend(sentAt.Add(k.ttl() - leaseMargin))
+			wait = k.renewInterval()
+			continue
+		}
+		k.goOn(ctx)
+		wait = storeRetryWait
+	}
+}
+
+func (k *leaseKeeper) renewInterval() time.Duration {
+	return time.Duration(float64(k.ttl()) / renewalsPerLease)
+}
+
+// isLost reports whether the ownership has run out, by this keeper's account or
+// by that of the membership.
+func (k *leaseKeeper) isLost() bool {
+	now := time.Now()
+	d := k.node.directory()
+	return !now.Before(k.until) || (d.self.ID == k.self.ID && !now.Before(d.ownedUntil))
+}
+
+// extend tells that the store renewed the lease. An answer that comes after the
+// end of the ownership is of no use.
+func (k *leaseKeeper) extend(until time.Time) {
+	if k.isLost() {
+		return
+	}
+	k.until = until
+	k.node.send(k.node.membership, &leaseRenewed{until: until})
+}
+
+// goOn asks the other nodes whether they miss the store, too, and let this one
+// go on.
+func (k *leaseKeeper) goOn(ctx context.Context) {
+	until, ok := k.node.gatherPromises(ctx, k.self.ID)
+	if !ok || k.isLost() || until.Before(k.until) {
+		return
 	}
+	k.until = until
+	k.node.send(k.node.membership, &leasePromised{until: until})
+}
+
+// restore lists the node again under its id after its lease has lapsed while it
+// went on by promises.
+func (k *leaseKeeper) restore(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
+	defer cancel()
+	lease, err := k.node.store.GrantLease(ctx, k.ttl())
+	if err != nil {
+		return fmt.Errorf("grant lease: %w", err)
+	}
+	k.lease, k.revision = lease, 0
+	if err := k.writeMember(ctx); err != nil {
+		return err
+	}
+	k.node.send(k.node.membership, &leaseRestored{revision: k.revision})
+	return nil
 }
 
 func (k *leaseKeeper) renew(ctx context.Context) error {
--- a/node/membership.go
+++ b/node/membership.go
@@ -22,6 +22,11 @@
 // The messages of the membership's actor besides those about the store.
 type (
 	memberTick    struct{}
+	locksGathered struct {
+		revision int64
+		granted  int
+		until    time.Time
+	}
 	memberLeave   struct{}
 	writeFailed   struct{ known *membership.Assignment }
 	handoverState struct {
@@ -54,9 +59,16 @@
 	switch msg := ctx.Message().(type) {
 	case *leaseGranted:
 		m.dir.self = msg.self
+		m.node.voter.restart(m.kernel.Assignment().Revision)
 		m.carryOut(m.kernel.LeaseGranted(now, msg.self, msg.until))
 	case *leaseRenewed:
 		m.carryOut(m.kernel.LeaseRenewed(now, msg.until))
+	case *leasePromised:
+		m.carryOut(m.kernel.Promised(now, msg.until))
+	case *leaseRestored:
+		m.carryOut(m.kernel.Restored(now, msg.revision))
+	case *locksGathered:
+		m.carryOut(m.kernel.LocksGathered(now, msg.revision, msg.granted, msg.until))
 	case *leaseLost:
 		m.carryOut(m.kernel.LeaseLost(now))
 	case *membersChanged:
@@ -86,6 +98,7 @@
 func (m *membershipActor) publish() {
 	m.dir.assignment = m.kernel.Assignment()
 	m.dir.members = m.kernel.Members()
+	m.dir.membersRevision = m.kernel.MembersRevision()
 	m.dir.ownedUntil = m.kernel.OwnedUntil()
 	d := m.dir
 	m.node.dir.Store(&d)
@@ -94,6 +107,7 @@
 // assignmentChanged tells the pools of this node which teams have a new home.
 func (m *membershipActor) assignmentChanged(now time.Time, a membership.Assignment) {
 	before := m.kernel.Assignment()
+	m.node.voter.learn(a.Revision)
 	m.carryOut(m.kernel.AssignmentChanged(now, a))
 	for _, s := range a.SortedShards() {
 		if s.Kind != membership.KindTeam || before.Shards[s] == a.Shards[s] {
@@ -144,6 +158,10 @@
 	for _, h := range fx.Handovers {
 		m.handOver(h)
 	}
+	if fx.Lock {
+		a := m.kernel.Assignment()
+		m.node.spawn(func(ctx context.Context) { m.node.gatherLocks(ctx, a) })
+	}
 	if fx.Write != nil {
 		next := fx.Write
 		m.node.spawn(func(ctx context.Context) { m.node.writeAssignment(ctx, next) })
--- a/node/node.go
+++ b/node/node.go
@@ -50,10 +50,15 @@
 	settings Settings
 	seed     uint64
 	store    core.Store
-	executor core.Executor
-	peers    *peer.Client
-	log      eventLog
-	metrics  *metrics
+	contact  *contactStore
+	voter    voter
+	changes  changeLog
+	// forgotten holds the ids of nodes whose VMs are gone by an operator's word.
+	forgotten sync.Map
+	executor  core.Executor
+	peers     *peer.Client
+	log       eventLog
+	metrics   *metrics
 
 	callerListener   net.Listener
 	peerListener     net.Listener
@@ -65,14 +70,12 @@
 	dir        atomic.Pointer[directory]
 	config     atomic.Pointer[configInForce]
 
-	ctx     context.Context
-	cancel  context.CancelFunc
-	tasks   sync.WaitGroup
-	stopped chan struct{}
-	leaving atomic.Bool
-	abrupt  atomic.Bool
-	// storeSeen is when the store last answered, in Unix nanoseconds.
-	storeSeen atomic.Int64
+	ctx       context.Context
+	cancel    context.CancelFunc
+	tasks     sync.WaitGroup
+	stopped   chan struct{}
+	leaving   atomic.Bool
+	abrupt    atomic.Bool
 	startedAt time.Time
 }
 
@@ -111,6 +114,8 @@
 		}
 		n.store = store
 	}
+	n.contact = &contactStore{Store: n.store}
+	n.store = n.contact
 	n.metrics = newMetrics()
 	return n, n.listen(d)
 }
--- /dev/null
+++ b/node/outage_test.go
@@ -0,0 +1,102 @@
+package node_test
+
+import (
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"jacinthwind/core"
+	"jacinthwind/node"
+	"jacinthwind/standin/store"
+)
+
+const outageLease = node.DefaultLeaseMS * time.Millisecond
+
+// ownerOf returns the node that owns a pool.
+func (c *cluster) ownerOf(pool string) *clusterNode {
+	i := slices.IndexFunc(c.nodes, func(n *clusterNode) bool {
+		return !n.dead.Load() && slices.Contains(n.NodeStatus().Pools, pool)
+	})
+	require.GreaterOrEqual(c.t, i, 0, "pool %s has no owner", pool)
+	return c.nodes[i]
+}
+
+// TestWorkGoesOnWhileTheStoreIsDown keeps the store down for an hour, during
+// which one node dies and one stops gracefully.
+func TestWorkGoesOnWhileTheStoreIsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, 9, outageLease)
+		defer c.close()
+		time.Sleep(10 * time.Second)
+		owner := c.ownerOf("p0")
+		c.store.SetFaults(store.Faults{Down: true})
+		for minute := range 60 {
+			time.Sleep(time.Minute)
+			result := c.urgentRequest(c.live()[minute%len(c.live())], "p0")
+			require.Equal(t, core.Done.String(), result.Outcome.String(), "minute %d: %v", minute, result)
+			if minute == 30 {
+				c.killOne(owner)
+			}
+		}
+		require.Equal(t, owner, c.ownerOf("p0"), "nothing moved")
+		c.store.SetFaults(store.Faults{})
+		c.waitReady()
+		time.Sleep(10 * time.Second)
+		c.waitReady()
+		require.Equal(t, owner, c.ownerOf("p0"), "the owner was listed again in time")
+		for _, n := range c.nodes {
+			require.Zero(t, n.Violations())
+		}
+	})
+}
+
+// killOne ends a node that is neither the given one nor the home of the team
+// that the test works for: what it owned waits for the store.
+func (c *cluster) killOne(but *clusterNode) {
+	for _, n := range c.live() {
+		if n != but && !slices.Contains(n.NodeStatus().Teams, "large") {
+			n.dead.Store(true)
+			n.Kill()
+			return
+		}
+	}
+}
+
+// TestANodeThatAloneLostTheStoreStops cuts one owner off the store while the
+// others reach it: it may miss that a key was withdrawn.
+func TestANodeThatAloneLostTheStoreStops(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, 9, outageLease)
+		defer c.close()
+		time.Sleep(10 * time.Second)
+		owner := c.ownerOf("p0")
+		owner.store.cut.Store(true)
+		time.Sleep(outageLease)
+		require.Empty(t, owner.NodeStatus().Pools, "it owns nothing after 5 s")
+		time.Sleep(5 * time.Second)
+		require.NotEqual(t, owner, c.ownerOf("p0"))
+		result := c.urgentRequest(owner, "p0")
+		require.Equal(t, core.Done.String(), result.Outcome.String(), "it still serves callers: %v", result)
+	})
+}
+
+// TestAMinorityWithoutTheStoreStops cuts an owner off from the store and from
+// its peers during an outage for all.
+func TestAMinorityWithoutTheStoreStops(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, 9, outageLease)
+		defer c.close()
+		time.Sleep(10 * time.Second)
+		owner := c.ownerOf("p0")
+		c.store.SetFaults(store.Faults{Down: true})
+		c.network.setCut(owner.name, true)
+		time.Sleep(2 * outageLease)
+		require.Empty(t, owner.NodeStatus().Pools)
+		c.store.SetFaults(store.Faults{})
+		c.waitReady()
+		require.NotEmpty(t, c.ownerOf("p0"))
+	})
+}
--- a/node/pool.go
+++ b/node/pool.go
@@ -68,7 +68,9 @@
 
 // Receive implements actor.Actor.
 func (p *poolActor) Receive(ctx actor.Context) {
-	p.self = ctx.Self()
+	if p.self == nil {
+		p.self = ctx.Self()
+	}
 	switch m := ctx.Message().(type) {
 	case *actor.Started:
 		p.carryOut(p.kernel.TakeEffects())
--- a/node/random_test.go
+++ b/node/random_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"strconv"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,6 +14,7 @@
 
 	"jacinthwind/core"
 	"jacinthwind/core/config"
+	"jacinthwind/io/operator"
 	"jacinthwind/standin/store"
 	"jacinthwind/standin/target"
 )
@@ -134,6 +136,17 @@
 	for _, e := range c.executors {
 		e.SetFaults(target.Faults{})
 	}
+	// Seconds after the faults have ended, an operator names the VMs that are
+	// gone for good.
+	time.Sleep(5 * time.Second)
+	for id := range c.live()[0].Dump(c.t.Context()).Assignment.Voters {
+		for _, n := range c.nodes {
+			if n.dead.Load() && strings.HasPrefix(id, n.name+"-") {
+				// A node that the record no longer depends on is refused.
+				_, _ = c.live()[0].Forget(c.t.Context(), operator.ForgetQuery{ID: id})
+			}
+		}
+	}
 	c.waitReady()
 }
 
--- a/node/status.go
+++ b/node/status.go
@@ -30,9 +30,7 @@
 		Teams:      slices.Sorted(maps.Keys(d.teams)),
 		Violations: n.Violations(),
 	}
-	if seen := n.storeSeen.Load(); seen > 0 {
-		s.StoreAgeMS = time.Since(time.Unix(0, seen)).Milliseconds()
-	}
+	s.StoreAgeMS = n.contact.sinceAnswer().Milliseconds()
 	return s
 }
 
