Report a change as accepted once a majority has it in force

Cause: a node that alone reaches the store could report a change as accepted while the majority goes on without the store and without the change.

--- a/commands/commands.go
+++ b/commands/commands.go
@@ -110,7 +110,7 @@
 		exit        *exitError
 		unreachable *operator.UnreachableError
 		conflict    *operator.ConflictError
-		unknown     *operator.UnknownError
+		uncertain   *operator.UncertainError
 		findings    config.Findings
 	)
 	switch {
@@ -120,7 +120,7 @@
 		return ExitUnreachable
 	case errors.As(err, &conflict):
 		return ExitConflict
-	case errors.As(err, &unknown):
+	case errors.As(err, &uncertain):
 		return ExitUnknown
 	case errors.As(err, &findings):
 		return ExitFailed
--- a/io/operator/client.go
+++ b/io/operator/client.go
@@ -88,15 +88,30 @@
 		typed = &InvalidError{}
 	case http.StatusConflict:
 		typed = &ConflictError{}
+	case http.StatusGatewayTimeout:
+		return &UncertainError{Text: errorText(e)}
 	default:
-		var body jsonhttp.ErrorBody
-		if json.Unmarshal(e.Body, &body) == nil && body.Error != "" {
-			return errors.New(body.Error)
-		}
-		return e
+		return errors.New(errorText(e))
 	}
 	if err := json.Unmarshal(e.Body, typed); err != nil {
 		return e
 	}
 	return typed
 }
+
+// errorText returns the text of an error that has no details.
+func errorText(e *jsonhttp.StatusError) string {
+	var body jsonhttp.ErrorBody
+	if json.Unmarshal(e.Body, &body) == nil && body.Error != "" {
+		return body.Error
+	}
+	return e.Error()
+}
+
+// UncertainError tells that it is not known whether a change is in force.
+type UncertainError struct {
+	Text string
+}
+
+// Error returns what the node said.
+func (e *UncertainError) Error() string { return e.Text }
--- a/io/operator/message.go
+++ b/io/operator/message.go
@@ -153,6 +153,21 @@
 // StatusCode is 503.
 func (e *StaleError) StatusCode() int { return http.StatusServiceUnavailable }
 
+// NotInForceError tells that the store took a change which most nodes do not
+// have in force yet.
+type NotInForceError struct {
+	ID       string
+	Revision int64
+}
+
+// Error says how to find out.
+func (e *NotInForceError) Error() string {
+	return fmt.Sprintf("change %s is revision %d in the store, but most nodes do not have it in force yet; see status", e.ID, e.Revision)
+}
+
+// StatusCode is 504.
+func (e *NotInForceError) StatusCode() int { return http.StatusGatewayTimeout }
+
 // UnknownError tells that the store did not say whether it took the change.
 type UnknownError struct {
 	ID       string
--- a/node/accept.go
+++ b/node/accept.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -20,6 +22,9 @@
 	maxConflictChanges = 20
 	acceptTimeout      = 5 * time.Second
 	acceptRetryWait    = 50 * time.Millisecond
+	// majorityPollInterval is the time between two questions which revision the
+	// nodes have in force.
+	majorityPollInterval = 50 * time.Millisecond
 )
 
 // Apply writes an operator's change to the log if nothing came in between.
@@ -46,6 +51,9 @@
 	}
 	n.log.Event(event.ConfigAccepted, change.ID, fmt.Sprintf("revision %d by %s", change.Revision, q.Author))
 	n.waitInForce(ctx, change.Revision)
+	if !n.waitMajority(ctx, change.Revision) {
+		return operator.ChangeReply{}, &operator.NotInForceError{ID: change.ID, Revision: change.Revision}
+	}
 	return operator.ChangeReply{Revision: change.Revision, ID: change.ID}, nil
 }
 
@@ -137,6 +145,43 @@
 	}
 }
 
+// waitMajority waits until a majority of the voters has the revision in force.
+// Nodes that go on without the store need a majority, too, so that none of them
+// works on for long without the change.
+func (n *Node) waitMajority(ctx context.Context, revision int64) bool {
+	for {
+		a := n.directory().assignment
+		if a.IsMajority(n.countInForce(ctx, a.Voters, revision)) {
+			return true
+		}
+		if !sleepFor(ctx, majorityPollInterval) {
+			return false
+		}
+	}
+}
+
+// countInForce returns the number of voters that have the revision in force.
+func (n *Node) countInForce(ctx context.Context, voters map[string]string, revision int64) int {
+	ctx, cancel := context.WithTimeout(ctx, voteTimeout)
+	defer cancel()
+	var count atomic.Int64
+	var wg sync.WaitGroup
+	for _, address := range voters {
+		wg.Go(func() {
+			status := n.NodeStatus()
+			var err error
+			if address != n.settings.PeerAddress {
+				status, err = n.peers.NodeStatus(ctx, address)
+			}
+			if err == nil && status.Revision >= revision {
+				count.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	return int(count.Load())
+}
+
 // History returns the latest changes, newest first.
 func (n *Node) History(ctx context.Context, count int) ([]config.Change, error) {
 	var changes []config.Change
--- a/node/network_test.go
+++ b/node/network_test.go
@@ -14,6 +14,8 @@
 	listeners map[string]*listener
 	conns     map[string][]net.Conn
 	cut       map[string]bool
+	// refused holds the pairs of a host and an address that do not connect.
+	refused map[[2]string]bool
 }
 
 type listener struct {
@@ -31,7 +33,7 @@
 
 func newNetwork() *network {
 	return &network{
-		listeners: make(map[string]*listener), conns: make(map[string][]net.Conn), cut: make(map[string]bool),
+		listeners: make(map[string]*listener), conns: make(map[string][]net.Conn), cut: make(map[string]bool), refused: make(map[[2]string]bool),
 	}
 }
 
@@ -48,7 +50,7 @@
 	return func(ctx context.Context, _, to string) (net.Conn, error) {
 		n.mu.Lock()
 		l, ok := n.listeners[to]
-		if !ok || n.cut[host] {
+		if !ok || n.cut[host] || n.refused[[2]string{host, to}] {
 			n.mu.Unlock()
 			return nil, &net.OpError{Op: "dial", Net: "memory", Err: errors.New("refused")}
 		}
@@ -66,6 +68,13 @@
 	}
 }
 
+// refuse keeps a host from opening further connections to an address.
+func (n *network) refuse(host, to string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.refused[[2]string{host, to}] = true
+}
+
 // toggleCut cuts a host off or heals it.
 func (n *network) toggleCut(host string) {
 	n.mu.Lock()
--- a/node/outage_test.go
+++ b/node/outage_test.go
@@ -9,6 +9,8 @@
 	"github.com/stretchr/testify/require"
 
 	"jacinthwind/core"
+	"jacinthwind/core/config"
+	"jacinthwind/io/operator"
 	"jacinthwind/node"
 	"jacinthwind/standin/store"
 )
@@ -100,3 +102,30 @@
 		require.NotEmpty(t, c.ownerOf("p0"))
 	})
 }
+
+// TestAChangeIsAcceptedOnceAMajorityHasIt lets one node alone reach the store,
+// while the others go on without it.
+func TestAChangeIsAcceptedOnceAMajorityHasIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, 9, outageLease)
+		defer c.close()
+		time.Sleep(10 * time.Second)
+		require.True(t, c.apply(outOperation))
+		for _, n := range c.nodes[1:] {
+			n.store.cut.Store(true)
+		}
+		// Peers would pass the change on.
+		c.network.setCut(c.nodes[0].name, true)
+		for _, n := range c.nodes[1:] {
+			c.network.refuse(n.name, c.nodes[0].Settings().PeerAddress)
+		}
+		_, err := c.nodes[0].Apply(t.Context(), operator.ChangeQuery{
+			Author: "test", BaseRevision: c.nodes[0].NodeStatus().Revision,
+			Operations: []config.Operation{{Kind: config.KindDataCentreOut, Name: "dc1"}},
+		})
+		var notInForce *operator.NotInForceError
+		require.ErrorAs(t, err, &notInForce)
+	})
+}
+
+var outOperation = config.Operation{Kind: config.KindDataCentreOut, Name: "dc1", Value: []byte(`"dc1"`)}
