Ask nine voters at most, spread over the data centres

Cause: worked out for 90 nodes, promises of all cost 30 KB a second in an outage, of 4 that are allowed; each node that joins rewrote the assignment. Change: up to nine listed nodes vote, kept as long as they are listed.

--- a/core/membership/kernel.go
+++ b/core/membership/kernel.go
@@ -21,6 +21,8 @@
 	writeTimeout = 2 * time.Second
 	// writeRetryWait is the time between a write that failed and the next one.
 	writeRetryWait = 300 * time.Millisecond
+	// maxVoters bounds the nodes that an owner asks during an outage.
+	maxVoters = 9
 	// lockRetryWait is the time between two questions to the voters.
 	lockRetryWait = time.Second
 	// handoverRetryWait is the time between a handover that did not begin and
@@ -552,14 +554,42 @@
 	return p
 }
 
+// voters returns the nodes that should decide by majority: the present ones
+// that are listed, filled up from the data centres with the fewest.
 func (k *Kernel) voters() map[string]string {
-	voters := make(map[string]string, len(k.members))
-	for id, m := range k.members {
-		voters[id] = m.Address
+	voters := make(map[string]string, maxVoters)
+	perDataCentre := make(map[string]int)
+	var others []Member
+	for _, m := range k.sortedMembers() {
+		if _, votes := k.assignment.Voters[m.ID]; !votes {
+			others = append(others, m)
+			continue
+		}
+		voters[m.ID] = m.Address
+		perDataCentre[m.DataCentre]++
+	}
+	for len(voters) < maxVoters && len(others) > 0 {
+		i := fewest(others, perDataCentre)
+		m := others[i]
+		others = slices.Delete(others, i, i+1)
+		voters[m.ID] = m.Address
+		perDataCentre[m.DataCentre]++
 	}
 	return voters
 }
 
+// fewest returns the index of the first member in the data centre with the
+// smallest count.
+func fewest(members []Member, perDataCentre map[string]int) int {
+	best := 0
+	for i, m := range members {
+		if perDataCentre[m.DataCentre] < perDataCentre[members[best].DataCentre] {
+			best = i
+		}
+	}
+	return best
+}
+
 // askForLock asks the voters once, and again after some time without success.
 func (k *Kernel) askForLock() {
 	if k.owesWrite() && (k.lock.gained || k.now.Sub(k.lock.askedAt) < lockRetryWait) {
--- a/core/membership/kernel_test.go
+++ b/core/membership/kernel_test.go
@@ -349,6 +349,28 @@
 	require.Nil(t, fx.Write)
 }
 
+func TestVotersAreSpreadAndKept(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	var members []membership.Member
+	for i := range 12 {
+		members = append(members, membership.Member{ID: fmt.Sprintf("n%02d", i), DataCentre: fmt.Sprint("dc", i/6)})
+	}
+	var k membership.Kernel
+	k.LeaseGranted(now, members[0], now.Add(time.Hour))
+	k.MembersChanged(now, members, 1)
+	fx := k.AssignmentChanged(now, membership.Assignment{})
+	require.Len(t, fx.Write.Voters, 9)
+	require.Contains(t, fx.Write.Voters, "n09", "four of the nine are in the second data centre")
+	require.NotContains(t, fx.Write.Voters, "n10")
+	kept := fx.Write.Clone()
+	kept.Revision = 2
+	k.AssignmentChanged(now, kept)
+	fx = k.MembersChanged(now, append(members, membership.Member{ID: "n12", DataCentre: "dc2"}), 3)
+	require.False(t, fx.Lock, "a node that joins does not change nine voters")
+	fx = k.MembersChanged(now, slices.Delete(slices.Clone(members), 1, 2), 4)
+	require.True(t, fx.Lock, "a voter that is gone is replaced")
+}
+
 func TestAnOlderAssignmentIsIgnored(t *testing.T) {
 	now := time.Unix(1_800_000_000, 0)
 	shard := membership.Shard{Kind: membership.KindPool, Name: "p"}
