Let a node learn everything from a peer and name the file of each finding

Cause: settings had no peers to ask while the store is down at the start; faults of several joined files did not say which file. Change: 'peers' in the settings; a peer that no longer has all changes sends its whole configuration; findings are mapped back to their file and index.

--- a/commands/config.go
+++ b/commands/config.go
@@ -59,6 +59,7 @@
 func readDocument(files []string) (config.Document, config.Findings, error) {
 	var joined config.Document
 	var findings config.Findings
+	parts := make([]config.Part, 0, len(files))
 	for _, file := range files {
 		data, err := os.ReadFile(file)
 		if err != nil {
@@ -67,16 +68,13 @@
 		doc, faults := config.Decode(file, data)
 		findings = append(findings, faults...)
 		joined.Merge(&doc)
+		parts = append(parts, config.Part{File: file, Document: doc})
 	}
 	if len(findings) > 0 {
 		return joined, findings, nil
 	}
 	findings = config.Check(&joined)
-	if len(files) == 1 {
-		for i := range findings {
-			findings[i].File = files[0]
-		}
-	}
+	config.Locate(findings, parts)
 	return joined, findings, nil
 }
 
--- a/core/config/change.go
+++ b/core/config/change.go
@@ -46,8 +46,8 @@
 // State is the configuration of one revision; its zero value is empty. Its
 // lists are in the order of the names and are never changed in place.
 type State struct {
-	Revision int64
-	Document Document
+	Revision int64    `json:"revision"`
+	Document Document `json:"document"`
 }
 
 // Apply returns the state after c, which must be the next change of the log.
--- a/core/config/config_test.go
+++ b/core/config/config_test.go
@@ -82,6 +82,17 @@
 	}
 }
 
+func TestFaultsOfSeveralFiles(t *testing.T) {
+	first, _ := config.Decode("a.json", []byte(validDocument))
+	second, _ := config.Decode("b.json", []byte(`{"register": {"teams": [{"name": "new", "share": 1, "limit": 1}, {"name": "guild", "share": 1, "limit": 1}]}}`))
+	var joined config.Document
+	joined.Merge(&first)
+	joined.Merge(&second)
+	findings := config.Check(&joined)
+	config.Locate(findings, []config.Part{{File: "a.json", Document: first}, {File: "b.json", Document: second}})
+	require.Equal(t, `b.json: register.teams[1].name: name "guild" is already used by register.teams[0].name`, findings.Error())
+}
+
 func TestDiffAndApply(t *testing.T) {
 	doc, _ := config.Decode("f.json", []byte(validDocument))
 	ops, err := config.State{}.Diff(&doc)
@@ -141,6 +152,9 @@
 	}
 	team, _ := f.View().Team("a")
 	require.Equal(t, 4, team.Limit)
+	require.False(t, f.Adopt(config.State{Revision: 4}))
+	require.True(t, f.Adopt(config.State{Revision: 9}))
+	require.Equal(t, int64(9), f.View().Revision)
 }
 
 func FuzzDecode(f *testing.F) {
--- a/core/config/follower.go
+++ b/core/config/follower.go
@@ -32,6 +32,21 @@
 	}
 }
 
+// Adopt takes a whole configuration as a peer has it in force and reports
+// whether it is later than the present one.
+func (f *Follower) Adopt(s State) bool {
+	if s.Revision <= f.state.Revision {
+		return false
+	}
+	f.state, f.view = s, NewView(s, f.view)
+	for revision := range f.waiting {
+		if revision <= s.Revision {
+			delete(f.waiting, revision)
+		}
+	}
+	return true
+}
+
 func (f *Follower) apply(c *Change) error {
 	state, err := f.state.Apply(c)
 	if err != nil {
--- /dev/null
+++ b/core/config/part.go
@@ -0,0 +1,62 @@
+package config
+
+import (
+	"fmt"
+	"regexp"
+	"strconv"
+)
+
+// Part is one file of a configuration that several files make up.
+type Part struct {
+	File     string
+	Document Document
+}
+
+var listEntry = regexp.MustCompile(`^([a-z_.]+)\[(\d+)\](.*)$`)
+
+// Locate replaces the paths of findings in the joined document by the file and
+// the path in it.
+func Locate(findings Findings, parts []Part) {
+	for i := range findings {
+		findings[i].locate(parts)
+	}
+}
+
+func (f *Finding) locate(parts []Part) {
+	match := listEntry.FindStringSubmatch(f.Path)
+	if match == nil {
+		return
+	}
+	// The pattern admits digits only.
+	index, _ := strconv.Atoi(match[2])
+	for _, p := range parts {
+		length := p.Document.listLength(match[1])
+		if index < length {
+			f.File = p.File
+			f.Path = fmt.Sprintf("%s[%d]%s", match[1], index, match[3])
+			return
+		}
+		index -= length
+	}
+}
+
+// listLength returns the length of the list at a path.
+func (d *Document) listLength(path string) int {
+	switch path {
+	case "register.data_centres":
+		return len(d.Register.DataCentres)
+	case "register.pools":
+		return len(d.Register.Pools)
+	case "register.queues":
+		return len(d.Register.Queues)
+	case "register.vms":
+		return len(d.Register.VMs)
+	case "register.teams":
+		return len(d.Register.Teams)
+	case "register.keys":
+		return len(d.Register.Keys)
+	case "rules.data_centres_out":
+		return len(d.Rules.DataCentresOut)
+	}
+	return 0
+}
--- a/io/peer/message.go
+++ b/io/peer/message.go
@@ -200,8 +200,11 @@
 	MembersRevision    int64                 `json:"members_revision"`
 	Assignment         membership.Assignment `json:"assignment"`
 	AssignmentRevision int64                 `json:"assignment_revision"`
-	// Changes are configuration changes after the asked revision, in order.
+	// Changes are the configuration changes after the asked revision, in order.
 	Changes []config.Change `json:"changes,omitempty"`
+	// Whole is the configuration in force where the peer no longer has all of
+	// these changes.
+	Whole *config.State `json:"whole,omitempty"`
 }
 
 // VoteReply is a voter's answer to an owner or a proposer.
--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -157,7 +157,7 @@
 	i := len(c.nodes)
 	s := &cutStore{Store: &c.store}
 	n, err := node.New(node.Settings{
-		Name: name, DataCentre: "dc0", LeaseMS: int(c.lease.Milliseconds()), ShutdownMS: 15_000,
+		Name: name, DataCentre: "dc0", Peers: []string{"10.0.1.1:2"}, LeaseMS: int(c.lease.Milliseconds()), ShutdownMS: 15_000,
 	}, node.Dependencies{
 		Store: s, Log: c.log, Dial: c.network.dialFrom(name),
 		Caller:   c.network.listen(fmt.Sprintf("10.0.%d.1:1", i)),
--- a/node/knowledge.go
+++ b/node/knowledge.go
@@ -43,13 +43,18 @@
 // KnowledgeLocal tells a peer what this node knows of the store.
 func (n *Node) KnowledgeLocal(q peer.KnowledgeQuery) peer.KnowledgeReply {
 	d := n.directory()
-	return peer.KnowledgeReply{
+	reply := peer.KnowledgeReply{
 		Members:            slices.Collect(maps.Values(d.members)),
 		MembersRevision:    d.membersRevision,
 		Assignment:         d.assignment,
 		AssignmentRevision: d.assignment.Revision,
 		Changes:            n.changes.after(q.Config),
 	}
+	state := n.configState()
+	if state.Revision > q.Config && (len(reply.Changes) == 0 || reply.Changes[0].Revision != q.Config+1) {
+		reply.Changes, reply.Whole = nil, &state
+	}
+	return reply
 }
 
 // learnFromPeer asks one peer what it knows of the store, which this node does
@@ -70,16 +75,23 @@
 	f.node.send(f.node.membership, &assignmentChanged{known.Assignment})
 	f.node.send(f.node.membership, &membersChanged{known.Members, known.MembersRevision})
 	before := f.config.State().Revision
+	if known.Whole != nil {
+		f.config.Adopt(*known.Whole)
+	}
 	for _, c := range known.Changes {
 		f.offer(&c)
 	}
 	f.publishConfig(before)
 }
 
-// anyPeer returns the address of a random other node.
+// anyPeer returns the address of a random other node: a listed one, or one of
+// the settings' before any is known.
 func (n *Node) anyPeer() (string, bool) {
 	d := n.directory()
 	var addresses []string
+	if len(d.members) == 0 {
+		addresses = n.settings.Peers
+	}
 	for _, m := range d.members {
 		if m.Address != n.settings.PeerAddress {
 			addresses = append(addresses, m.Address)
--- a/node/outage_test.go
+++ b/node/outage_test.go
@@ -133,3 +133,16 @@
 }
 
 var outOperation = config.Operation{Kind: config.KindDataCentreOut, Name: "dc1", Value: []byte(`"dc1"`)}
+
+// TestANodeThatStartsWithoutTheStoreServesCallers lets a node learn everything
+// from a peer of its settings.
+func TestANodeThatStartsWithoutTheStoreServesCallers(t *testing.T) {
+	runOutage(t, func(c *cluster) {
+		c.store.SetFaults(store.Faults{Down: true})
+		time.Sleep(10 * time.Second)
+		n := c.start("late")
+		time.Sleep(2 * time.Second)
+		result := c.urgentRequest(n, "p0")
+		require.Equal(c.t, core.Done.String(), result.Outcome.String(), "%v", result)
+	})
+}
--- a/node/settings.go
+++ b/node/settings.go
@@ -21,6 +21,9 @@
 	OperatorAddress string `json:"operator_address"`
 	// Store is the URL of the platform's key-value service.
 	Store string `json:"store"`
+	// Peers are peer addresses of other nodes, asked while the store cannot be
+	// reached at the start.
+	Peers []string `json:"peers,omitempty"`
 	// LeaseMS is the time to live of the node's lease in milliseconds.
 	LeaseMS int `json:"lease_ms,omitempty"`
 	// ShutdownMS bounds a graceful stop in milliseconds.
@@ -114,6 +117,13 @@
 			})
 		}
 	}
+	for i, address := range s.Peers {
+		if _, err := netip.ParseAddrPort(address); err != nil {
+			findings = append(findings, config.Finding{
+				File: file, Path: fmt.Sprintf("peers[%d]", i), Reason: fmt.Sprintf("%q is not an IP address with a port", address),
+			})
+		}
+	}
 	s = s.WithDefaults()
 	if renewals := s.TaskLeaseMS / s.UsageIntervalMS; renewals < minRenewals {
 		findings = append(findings, config.Finding{
--- a/node/status.go
+++ b/node/status.go
@@ -26,14 +26,19 @@
 		Leaving:    n.leaving.Load(),
 		Revision:   n.configState().Revision,
 		OwnedForMS: max(0, time.Until(d.ownedUntil).Milliseconds()),
-		Pools:      slices.Sorted(maps.Keys(d.pools)),
-		Teams:      slices.Sorted(maps.Keys(d.teams)),
+		Pools:      sortedNames(d.pools),
+		Teams:      sortedNames(d.teams),
 		Violations: n.Violations(),
 	}
 	s.StoreAgeMS = n.contact.sinceAnswer().Milliseconds()
 	return s
 }
 
+// sortedNames returns the names in order, an empty list where there are none.
+func sortedNames(owned map[string]ownedActor) []string {
+	return slices.AppendSeq([]string{}, slices.Values(slices.Sorted(maps.Keys(owned))))
+}
+
 // Status asks all live nodes for their status.
 func (n *Node) Status(ctx context.Context) operator.StatusReply {
 	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
