Notice a watch that misses changes while the lease is renewed

Cause: a node whose watch hung kept owning by its renewals and never learned of changes, a withdrawn key among them. Change: a renewal shows the store's revision; a node that has not followed an earlier one within 1.5 s reads everything anew and does not extend its ownership before it has.

--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -66,6 +66,17 @@
 type cutStore struct {
 	core.Store
 	cut atomic.Bool
+	// deaf makes watches wait without hearing of changes.
+	deaf atomic.Bool
+	// blind makes listings fail.
+	blind atomic.Bool
+}
+
+func (s *cutStore) List(ctx context.Context, prefix string) (core.Listing, error) {
+	if s.cut.Load() || s.blind.Load() {
+		return core.Listing{}, core.ErrUnavailable
+	}
+	return s.Store.List(ctx, prefix)
 }
 
 func (s *cutStore) RenewLease(ctx context.Context, id core.LeaseID) (int64, error) {
@@ -93,6 +104,10 @@
 	if s.cut.Load() {
 		return core.WatchBatch{}, core.ErrUnavailable
 	}
+	if s.deaf.Load() {
+		<-ctx.Done()
+		return core.WatchBatch{}, core.ErrUnavailable
+	}
 	return s.Store.Watch(ctx, prefix, revision)
 }
 
--- a/node/follow.go
+++ b/node/follow.go
@@ -47,7 +47,7 @@
 		switch {
 		case err == nil:
 			loaded = true
-		case errors.Is(err, core.ErrCompacted):
+		case errors.Is(err, core.ErrCompacted), errors.Is(err, errWatchEnded):
 			loaded = false
 		default:
 			f.learnFromPeer(ctx)
@@ -57,6 +57,14 @@
 	return nil
 }
 
+// errWatchEnded tells that a watch was ended because it missed changes.
+var errWatchEnded = errors.New("watch ended to read the whole content")
+
+func (f *storeFollower) setRevision(revision int64) {
+	f.revision = revision
+	f.node.followed.Store(revision)
+}
+
 // next reads the whole content or waits for changes.
 func (f *storeFollower) next(ctx context.Context, loaded bool) error {
 	if !loaded || f.config.HasGap() {
@@ -64,12 +72,16 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
+	f.node.endWatch.Store(&cancel)
 	batch, err := f.node.store.Watch(ctx, keyRoot, f.revision)
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return errWatchEnded
+	}
 	if err != nil {
 		return err
 	}
 	f.take(batch.Events)
-	f.revision = batch.Revision
+	f.setRevision(batch.Revision)
 	f.sendMembers()
 	return nil
 }
@@ -90,7 +102,7 @@
 		events[i] = core.StoreEvent{Entry: e}
 	}
 	f.take(events)
-	f.revision = listing.Revision
+	f.setRevision(listing.Revision)
 	f.sendMembers()
 	// Where there is no record yet, the empty one is the one to start from; the
 	// kernel ignores it otherwise.
--- a/node/lease.go
+++ b/node/lease.go
@@ -44,6 +44,10 @@
 	// revision is the revision of the member's record.
 	revision int64
 	until    time.Time
+	// seen is a store revision that a renewal showed at seenAt and that the node
+	// had not followed then.
+	seen   int64
+	seenAt time.Time
 }
 
 // keepLease registers the node and keeps its lease until ctx ends.
@@ -203,10 +207,36 @@
 func (k *leaseKeeper) renew(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 	defer cancel()
-	_, err := k.node.store.RenewLease(ctx, k.lease)
+	revision, err := k.node.store.RenewLease(ctx, k.lease)
+	if err == nil && k.isBehind(revision) {
+		return errBehind
+	}
 	return err
 }
 
+// maxBehind is how long a node may miss what a renewal has shown to be there.
+const maxBehind = 1500 * time.Millisecond
+
+var errBehind = errors.New("the node does not follow the store's changes")
+
+// isBehind reports whether the watch misses changes although the store answers.
+// Such a node may not know that a key was withdrawn: it reads everything anew,
+// and does not extend its ownership before it has.
+func (k *leaseKeeper) isBehind(revision int64) bool {
+	followed := k.node.followed.Load()
+	now := time.Now()
+	if followed >= k.seen {
+		k.seen, k.seenAt = revision, now
+	}
+	if followed >= k.seen || now.Sub(k.seenAt) < maxBehind {
+		return false
+	}
+	if end := k.node.endWatch.Load(); end != nil {
+		(*end)()
+	}
+	return true
+}
+
 // announceLeaving marks the record of a node that is stopping.
 func (k *leaseKeeper) announceLeaving(ctx context.Context) {
 	if k.self.Leaving || !k.node.leaving.Load() {
--- a/node/node.go
+++ b/node/node.go
@@ -53,6 +53,10 @@
 	contact  *contactStore
 	voter    voter
 	changes  changeLog
+	// followed is the store revision up to which this node knows everything.
+	followed atomic.Int64
+	// endWatch ends the waiting watch, so that the whole content is read anew.
+	endWatch atomic.Pointer[context.CancelFunc]
 	// forgotten holds the ids of nodes whose VMs are gone by an operator's word.
 	forgotten sync.Map
 	executor  core.Executor
--- a/node/outage_test.go
+++ b/node/outage_test.go
@@ -146,3 +146,31 @@
 		require.Equal(c.t, core.Done.String(), result.Outcome.String(), "%v", result)
 	})
 }
+
+// TestADeafWatchIsNoticed lets a node's watch wait for ever while its lease is
+// renewed: it has to read the changes, or to stop owning where it cannot.
+func TestADeafWatchIsNoticed(t *testing.T) {
+	for _, blind := range []bool{false, true} {
+		runOutage(t, func(c *cluster) {
+			owner := c.ownerOf("p0")
+			other := c.nodes[(slices.Index(c.nodes, owner)+1)%len(c.nodes)]
+			owner.store.deaf.Store(true)
+			owner.store.blind.Store(blind)
+			// The watch that was waiting already ends with a change.
+			require.True(c.t, c.apply(outOperation))
+			time.Sleep(time.Second)
+			current, err := other.Config(c.t.Context())
+			require.NoError(c.t, err)
+			_, err = other.Apply(c.t.Context(), operator.ChangeQuery{
+				Author: "test", BaseRevision: current.Revision,
+				Operations: []config.Operation{{Kind: config.KindDataCentreOut, Name: "dc1"}},
+			})
+			require.NoError(c.t, err)
+			time.Sleep(inForceBound)
+			require.Equal(c.t, current.Revision+1, owner.NodeStatus().Revision, "it read the change, or a peer told")
+			if blind {
+				require.Empty(c.t, owner.NodeStatus().Pools, "a node that cannot follow the store owns nothing")
+			}
+		})
+	}
+}
