Log when the store falls silent, assert that configurations do not revert

Cause: three events of the catalogue were never written, one reason never given. Change: the store's silence and return are logged, a configuration that would go back is a violation; the rest is removed.

--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -13,7 +13,6 @@
 	ViolationKey            Number = 104
 	ViolationDataCentre     Number = 105
 	ViolationNotRun         Number = 106
-	ViolationAnswerMismatch Number = 107
 	ViolationLedger         Number = 108
 	ViolationConfigReverted Number = 109
 
@@ -57,7 +56,6 @@
 	ViolationKey:            "a task would start with a key that is not in force",
 	ViolationDataCentre:     "a task would start in a data centre that is out of service or on a leaving VM",
 	ViolationNotRun:         "a request that was answered not_run has an attempt that may have started",
-	ViolationAnswerMismatch: "an answer came with the identity of another attempt",
 	ViolationLedger:         "a ledger would lend more of a team's limit than there is",
 	ViolationConfigReverted: "a configuration change would take a node back to an earlier revision",
 
--- a/core/outcome.go
+++ b/core/outcome.go
@@ -45,7 +45,6 @@
 	ReasonIDFromFuture       Reason = "id_from_future"
 	ReasonIDExpired          Reason = "id_expired"
 	ReasonIDBeforeTakeover   Reason = "id_before_takeover"
-	ReasonIDReused           Reason = "id_reused"
 	ReasonKeyUnknown         Reason = "key_unknown"
 	ReasonKeyMissing         Reason = "key_missing"
 	ReasonKeyWithdrawn       Reason = "key_withdrawn"
--- a/node/contact.go
+++ b/node/contact.go
@@ -14,6 +14,8 @@
 	core.Store
 	answered atomic.Int64
 	failed   atomic.Int64
+	// changed is told when the store begins or ceases to be silent.
+	changed func(silent bool)
 }
 
 // isSilent reports whether the latest call got no answer.
@@ -35,11 +37,15 @@
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return
 	}
+	before := s.isSilent()
 	if errors.Is(err, core.ErrUnavailable) {
 		s.failed.Store(time.Now().UnixNano())
-		return
+	} else {
+		s.answered.Store(time.Now().UnixNano())
+	}
+	if after := s.isSilent(); after != before {
+		s.changed(after)
 	}
-	s.answered.Store(time.Now().UnixNano())
 }
 
 // Get implements core.Store.
--- a/node/node.go
+++ b/node/node.go
@@ -118,7 +118,7 @@
 		}
 		n.store = store
 	}
-	n.contact = &contactStore{Store: n.store}
+	n.contact = &contactStore{Store: n.store, changed: n.storeChanged}
 	n.store = n.contact
 	n.metrics = newMetrics()
 	return n, n.listen(d)
@@ -326,7 +326,20 @@
 	return nil
 }
 
+// storeChanged logs that the store fell silent or answers again.
+func (n *Node) storeChanged(silent bool) {
+	number := event.StoreReachable
+	if silent {
+		number = event.StoreUnreachable
+	}
+	n.log.Event(number, n.settings.Name, "")
+}
+
 func (n *Node) setView(s config.State, v *config.View) {
+	if known := n.configState().Revision; s.Revision < known {
+		n.log.Event(event.ViolationConfigReverted, n.settings.Name, fmt.Sprintf("from revision %d to %d", known, s.Revision))
+		return
+	}
 	n.config.Store(&configInForce{state: s, view: v, since: time.Now()})
 	n.log.Event(event.ConfigInForce, n.settings.Name, fmt.Sprintf("revision %d", v.Revision))
 	n.send(n.membership, &viewChanged{v})
