Make one piece of code serve where the change had several

Cause: a last read of the whole change found the same code twice or thrice. Change: requests that are not on record go through submitFresh from both places; the voters are asked by one function for promises, locks and revisions, where each revision asked of a peer had also built this node's own status; one default setter instead of three; one function indexes queues, teams and keys; the field since, the actor's init and a one-line wrapper are gone; parts.go, which held three things, is plugins.go with one.

--- /dev/null
+++ b/common/defaults/doc.go
@@ -0,0 +1,2 @@
+// Package defaults fills in settings that were left out.
+package defaults
--- a/core/config/document.go
+++ b/core/config/document.go
@@ -1,5 +1,7 @@
 package config
 
+import "jacinthwind/common/defaults"
+
 // Document is the whole configuration: the register and the rules.
 type Document struct {
 	Register Register `json:"register"`
@@ -134,18 +136,12 @@
 
 // WithDefaults returns s with every unset field replaced by its default.
 func (s Scheduling) WithDefaults() Scheduling {
-	setDefault(&s.MaxQueued, DefaultMaxQueued)
-	setDefault(&s.UrgentInARow, DefaultUrgentInARow)
-	setDefault(&s.MaxAttempts, DefaultMaxAttempts)
-	setDefault(&s.RetryPercent, DefaultRetryPercent)
-	setDefault(&s.QuarantineAfter, DefaultQuarantineAfter)
-	setDefault(&s.QuarantinePercent, DefaultQuarantinePercent)
-	setDefault(&s.IDWindowS, DefaultIDWindowS)
+	defaults.Set(&s.MaxQueued, DefaultMaxQueued)
+	defaults.Set(&s.UrgentInARow, DefaultUrgentInARow)
+	defaults.Set(&s.MaxAttempts, DefaultMaxAttempts)
+	defaults.Set(&s.RetryPercent, DefaultRetryPercent)
+	defaults.Set(&s.QuarantineAfter, DefaultQuarantineAfter)
+	defaults.Set(&s.QuarantinePercent, DefaultQuarantinePercent)
+	defaults.Set(&s.IDWindowS, DefaultIDWindowS)
 	return s
 }
-
-func setDefault(field *int, value int) {
-	if *field == 0 {
-		*field = value
-	}
-}
--- a/core/config/view.go
+++ b/core/config/view.go
@@ -31,9 +31,10 @@
 	if previous == nil {
 		previous = &View{}
 	}
-	v.indexQueues(previous)
-	v.indexTeams(previous)
-	v.indexKeys(previous)
+	r, before := &v.Register, &previous.Register
+	v.queues = indexBy(r.Queues, before.Queues, previous.queues, func(q Queue) (string, Queue) { return q.Name, q })
+	v.teams = indexBy(r.Teams, before.Teams, previous.teams, func(t Team) (string, Team) { return t.Name, t })
+	v.keys = indexBy(r.Keys, before.Keys, previous.keys, func(k Key) (string, string) { return k.SHA256, k.Team })
 	v.indexVMs(previous)
 	v.indexOut()
 	return v
@@ -44,37 +45,18 @@
 	return len(a) == len(b) && len(a) > 0 && &a[0] == &b[0]
 }
 
-func (v *View) indexQueues(previous *View) {
-	if isSame(v.Register.Queues, previous.Register.Queues) {
-		v.queues = previous.queues
-		return
-	}
-	v.queues = make(map[string]Queue, len(v.Register.Queues))
-	for _, q := range v.Register.Queues {
-		v.queues[q.Name] = q
-	}
-}
-
-func (v *View) indexTeams(previous *View) {
-	if isSame(v.Register.Teams, previous.Register.Teams) {
-		v.teams = previous.teams
-		return
-	}
-	v.teams = make(map[string]Team, len(v.Register.Teams))
-	for _, t := range v.Register.Teams {
-		v.teams[t.Name] = t
-	}
-}
-
-func (v *View) indexKeys(previous *View) {
-	if isSame(v.Register.Keys, previous.Register.Keys) {
-		v.keys = previous.keys
-		return
+// indexBy returns the index of a list, the known one where the list did not
+// change.
+func indexBy[T, V any](list, before []T, known map[string]V, entry func(T) (string, V)) map[string]V {
+	if isSame(list, before) {
+		return known
 	}
-	v.keys = make(map[string]string, len(v.Register.Keys))
-	for _, k := range v.Register.Keys {
-		v.keys[k.SHA256] = k.Team
+	index := make(map[string]V, len(list))
+	for _, item := range list {
+		name, value := entry(item)
+		index[name] = value
 	}
+	return index
 }
 
 func (v *View) indexVMs(previous *View) {
--- a/core/scheduler/escrow.go
+++ b/core/scheduler/escrow.go
@@ -19,8 +19,8 @@
 	// known is false until a new owner has learned what its pool holds.
 	known bool
 	held  int
-	// target is the part that the home asks the pool to come down to, -1
-	// where it asks nothing.
+	// target is the part that the home asks the pool to come down to; hasTarget
+	// says whether it asks for anything.
 	target    int
 	hasTarget bool
 	homeEpoch uint64
--- a/core/scheduler/kernel.go
+++ b/core/scheduler/kernel.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"jacinthwind/common/defaults"
 	"jacinthwind/core"
 	"jacinthwind/core/config"
 	"jacinthwind/core/event"
@@ -48,24 +49,17 @@
 )
 
 func (s Settings) withDefaults() Settings {
-	setDefault(&s.StartWindow, DefaultStartWindow)
-	setDefault(&s.TaskLease, DefaultTaskLease)
-	setDefault(&s.UsageInterval, DefaultUsageInterval)
-	setDefault(&s.ClockSkew, DefaultClockSkew)
-	setDefault(&s.ForwardWindow, DefaultForwardWindow)
-	setDefault(&s.MaxHeldAnswers, DefaultMaxHeldAnswers)
-	setDefault(&s.Order, DefaultOrder)
-	setDefault(&s.Placement, DefaultPlacement)
+	defaults.Set(&s.StartWindow, DefaultStartWindow)
+	defaults.Set(&s.TaskLease, DefaultTaskLease)
+	defaults.Set(&s.UsageInterval, DefaultUsageInterval)
+	defaults.Set(&s.ClockSkew, DefaultClockSkew)
+	defaults.Set(&s.ForwardWindow, DefaultForwardWindow)
+	defaults.Set(&s.MaxHeldAnswers, DefaultMaxHeldAnswers)
+	defaults.Set(&s.Order, DefaultOrder)
+	defaults.Set(&s.Placement, DefaultPlacement)
 	return s
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Activation says how a node comes to own a pool.
 type Activation struct {
 	Pool  string
--- a/core/scheduler/submit.go
+++ b/core/scheduler/submit.go
@@ -34,11 +34,7 @@
 		k.repeat(known, ev)
 		return
 	}
-	if result, ok := k.admit(ev.Request); !ok {
-		k.refuse(ev, result)
-		return
-	}
-	k.enqueue(ev)
+	k.submitFresh(ev)
 }
 
 // repeat handles a request whose id is on record.
@@ -57,6 +53,7 @@
 	k.reply(ev.Waiter, k.recorded(t), true)
 }
 
+// submitFresh takes in or refuses a request that is not on record.
 func (k *Kernel) submitFresh(ev *Submit) {
 	if result, ok := k.admit(ev.Request); !ok {
 		k.refuse(ev, result)
--- a/node/accept.go
+++ b/node/accept.go
@@ -5,8 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -162,24 +160,13 @@
 
 // countInForce returns the number of voters that have the revision in force.
 func (n *Node) countInForce(ctx context.Context, voters map[string]string, revision int64) int {
-	ctx, cancel := context.WithTimeout(ctx, voteTimeout)
-	defer cancel()
-	var count atomic.Int64
-	var wg sync.WaitGroup
-	for _, address := range voters {
-		wg.Go(func() {
-			status := n.NodeStatus()
-			var err error
-			if address != n.settings.PeerAddress {
-				status, err = n.peers.NodeStatus(ctx, address)
-			}
-			if err == nil && status.Revision >= revision {
-				count.Add(1)
-			}
-		})
+	count := 0
+	for _, status := range askVoters(ctx, voters, n.statusOf) {
+		if status.Revision >= revision {
+			count++
+		}
 	}
-	wg.Wait()
-	return int(count.Load())
+	return count
 }
 
 // History returns the latest changes, newest first.
--- a/node/node.go
+++ b/node/node.go
@@ -18,6 +18,8 @@
 	"jacinthwind/core"
 	"jacinthwind/core/config"
 	"jacinthwind/core/event"
+	"jacinthwind/core/membership"
+	"jacinthwind/core/scheduler"
 	"jacinthwind/io/caller"
 	"jacinthwind/io/executor"
 	"jacinthwind/io/operator"
@@ -87,7 +89,6 @@
 type configInForce struct {
 	state config.State
 	view  *config.View
-	since time.Time
 }
 
 // New returns a node that listens but does not serve before Run.
@@ -163,8 +164,7 @@
 func (n *Node) Run() error {
 	defer close(n.stopped)
 	n.startedAt = time.Now()
-	host := &membershipActor{node: n}
-	host.init()
+	host := &membershipActor{node: n, received: make(map[membership.Shard]peer.HandoverQuery)}
 	n.membership = n.system.Root.Spawn(actor.PropsFromProducer(func() actor.Actor { return host }))
 	var g run.Group
 	n.addServer(&g, n.callerListener, n.callerHandler())
@@ -256,6 +256,18 @@
 	}
 }
 
+// tickPools sends the time to the actors of all pools.
+func (n *Node) tickPools() {
+	d := n.directory()
+	tick := &scheduler.Tick{OwnedUntil: d.ownedUntil}
+	for _, p := range d.pools {
+		n.send(p.pid, tick)
+	}
+	for _, pid := range d.retired {
+		n.send(pid, tick)
+	}
+}
+
 // Stop is a graceful shutdown: the node hands over what it owns and finishes
 // the requests in flight; it is bounded by the settings and by ctx.
 func (n *Node) Stop(ctx context.Context) error {
@@ -340,7 +352,7 @@
 		n.log.Event(event.ViolationConfigReverted, n.settings.Name, fmt.Sprintf("from revision %d to %d", known, s.Revision))
 		return
 	}
-	n.config.Store(&configInForce{state: s, view: v, since: time.Now()})
+	n.config.Store(&configInForce{state: s, view: v})
 	n.log.Event(event.ConfigInForce, n.settings.Name, fmt.Sprintf("revision %d", v.Revision))
 	n.send(n.membership, &viewChanged{v})
 }
--- a/node/parts.go
+++ b/node/plugins.go
@@ -8,9 +8,6 @@
 	"github.com/asynkron/protoactor-go/actor"
 
 	"jacinthwind/core"
-	"jacinthwind/core/membership"
-	"jacinthwind/core/scheduler"
-	"jacinthwind/io/peer"
 
 	// The plug-ins register themselves.
 	_ "jacinthwind/core/order"
@@ -35,22 +32,3 @@
 func quietLogger(*actor.ActorSystem) *slog.Logger {
 	return slog.New(slog.DiscardHandler)
 }
-
-func (m *membershipActor) init() {
-	m.received = make(map[membership.Shard]peer.HandoverQuery)
-}
-
-// tickPools sends the time to the actors of all pools.
-func (n *Node) tickPools() {
-	d := n.directory()
-	for _, p := range d.pools {
-		n.send(p.pid, &scheduler.Tick{OwnedUntil: d.ownedUntil})
-	}
-	for _, pid := range d.retired {
-		n.send(pid, &scheduler.Tick{OwnedUntil: d.ownedUntil})
-	}
-}
-
-func (n *Node) forgetRetired(pid *actor.PID) {
-	n.send(n.membership, &retiredEnded{pid})
-}
--- a/node/pool.go
+++ b/node/pool.go
@@ -103,7 +103,7 @@
 // stopWhenIdle ends the actor once nothing under the old ownership is left.
 func (p *poolActor) stopWhenIdle(ctx actor.Context) {
 	if p.isRetired() && p.kernel.InFlight() == 0 && time.Since(p.retiredAt) > retiredLinger {
-		p.node.forgetRetired(ctx.Self())
+		p.node.send(p.node.membership, &retiredEnded{ctx.Self()})
 		ctx.Stop(ctx.Self())
 	}
 }
--- a/node/settings.go
+++ b/node/settings.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"jacinthwind/common/defaults"
 	"jacinthwind/core/config"
 	"jacinthwind/core/scheduler"
 )
@@ -63,26 +64,19 @@
 
 // WithDefaults returns s with every unset field replaced by its default.
 func (s Settings) WithDefaults() Settings {
-	setDefault(&s.LeaseMS, DefaultLeaseMS)
-	setDefault(&s.ShutdownMS, DefaultShutdownMS)
-	setDefault(&s.MaxBodyBytes, DefaultMaxBodyBytes)
-	setDefault(&s.MaxHeldBytes, DefaultMaxHeldBytes)
-	setDefault(&s.DefaultDeadlineMS, DefaultDefaultDeadlineMS)
-	setDefault(&s.MaxDeadlineMS, DefaultMaxDeadlineMS)
-	setDefault(&s.TaskLeaseMS, int(scheduler.DefaultTaskLease.Milliseconds()))
-	setDefault(&s.UsageIntervalMS, int(scheduler.DefaultUsageInterval.Milliseconds()))
-	setDefault(&s.ClockSkewMS, int(scheduler.DefaultClockSkew.Milliseconds()))
-	setDefault(&s.LogLevel, DefaultLogLevel)
+	defaults.Set(&s.LeaseMS, DefaultLeaseMS)
+	defaults.Set(&s.ShutdownMS, DefaultShutdownMS)
+	defaults.Set(&s.MaxBodyBytes, DefaultMaxBodyBytes)
+	defaults.Set(&s.MaxHeldBytes, DefaultMaxHeldBytes)
+	defaults.Set(&s.DefaultDeadlineMS, DefaultDefaultDeadlineMS)
+	defaults.Set(&s.MaxDeadlineMS, DefaultMaxDeadlineMS)
+	defaults.Set(&s.TaskLeaseMS, int(scheduler.DefaultTaskLease.Milliseconds()))
+	defaults.Set(&s.UsageIntervalMS, int(scheduler.DefaultUsageInterval.Milliseconds()))
+	defaults.Set(&s.ClockSkewMS, int(scheduler.DefaultClockSkew.Milliseconds()))
+	defaults.Set(&s.LogLevel, DefaultLogLevel)
 	return s
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 func milliseconds(ms int) time.Duration {
 	return time.Duration(ms) * time.Millisecond
 }
--- a/node/status.go
+++ b/node/status.go
@@ -50,11 +50,7 @@
 	for i, id := range ids {
 		m := d.members[id]
 		wg.Go(func() {
-			if m.Address == n.settings.PeerAddress {
-				reply.Nodes[i] = n.NodeStatus()
-				return
-			}
-			status, err := n.peers.NodeStatus(ctx, m.Address)
+			status, err := n.statusOf(ctx, m.Address)
 			if err != nil {
 				status = peer.NodeStatus{Name: m.Name, ID: id, DataCentre: m.DataCentre, Error: err.Error()}
 			}
@@ -65,6 +61,14 @@
 	return reply
 }
 
+// statusOf asks the node at an address for its status.
+func (n *Node) statusOf(ctx context.Context, address string) (peer.NodeStatus, error) {
+	if address == n.settings.PeerAddress {
+		return n.NodeStatus(), nil
+	}
+	return n.peers.NodeStatus(ctx, address)
+}
+
 // Dump returns the whole state of this process.
 func (n *Node) Dump(ctx context.Context) operator.Dump {
 	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
--- a/node/vote.go
+++ b/node/vote.go
@@ -50,38 +50,31 @@
 	return peer.VoteReply{ID: n.directory().self.ID, Granted: granted, WaitMS: wait.Milliseconds() + 1}
 }
 
-// votes asks all voters of an assignment at once and returns their replies by
-// id, without those that did not answer.
-func (n *Node) votes(
+// askVoters asks all voters of an assignment at once and returns their answers
+// by id, without those that gave none.
+func askVoters[A any](
 	ctx context.Context,
 	voters map[string]string,
-	local func() peer.VoteReply,
-	remote func(ctx context.Context, address string) (peer.VoteReply, error),
-) map[string]peer.VoteReply {
+	ask func(ctx context.Context, address string) (A, error),
+) map[string]A {
 	ctx, cancel := context.WithTimeout(ctx, voteTimeout)
 	defer cancel()
 	var mu sync.Mutex
 	var wg sync.WaitGroup
-	replies := make(map[string]peer.VoteReply, len(voters))
+	answers := make(map[string]A, len(voters))
 	for id, address := range voters {
 		wg.Go(func() {
-			var reply peer.VoteReply
-			var err error
-			if address == n.settings.PeerAddress {
-				reply = local()
-			} else {
-				reply, err = remote(ctx, address)
-			}
+			answer, err := ask(ctx, address)
 			if err != nil {
 				return
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			replies[id] = reply
+			answers[id] = answer
 		})
 	}
 	wg.Wait()
-	return replies
+	return answers
 }
 
 // gatherPromises asks the voters to let this node go on and returns until when
@@ -93,11 +86,12 @@
 	}
 	askedAt := time.Now()
 	q := membership.PromiseQuery{ID: self, Assignment: a.Revision, Config: n.configState().Revision}
-	replies := n.votes(ctx, a.Voters,
-		func() peer.VoteReply { return n.PromiseLocal(q) },
-		func(ctx context.Context, address string) (peer.VoteReply, error) {
-			return n.peers.Promise(ctx, address, q)
-		})
+	replies := askVoters(ctx, a.Voters, func(ctx context.Context, address string) (peer.VoteReply, error) {
+		if address == n.settings.PeerAddress {
+			return n.PromiseLocal(q), nil
+		}
+		return n.peers.Promise(ctx, address, q)
+	})
 	granted := 0
 	for id, reply := range replies {
 		if reply.Granted && reply.ID == id {
@@ -112,11 +106,12 @@
 // every promise after the longest time of one.
 func (n *Node) gatherLocks(ctx context.Context, a membership.Assignment) {
 	q := membership.LockQuery{Assignment: a.Revision}
-	replies := n.votes(ctx, a.Voters,
-		func() peer.VoteReply { return n.LockLocal(q) },
-		func(ctx context.Context, address string) (peer.VoteReply, error) {
-			return n.peers.Lock(ctx, address, q)
-		})
+	replies := askVoters(ctx, a.Voters, func(ctx context.Context, address string) (peer.VoteReply, error) {
+		if address == n.settings.PeerAddress {
+			return n.LockLocal(q), nil
+		}
+		return n.peers.Lock(ctx, address, q)
+	})
 	now := time.Now()
 	until := now
 	granted := 0
