--- /dev/null
+++ b/core/membership/voter_test.go
@@ -0,0 +1,71 @@
+package membership_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"jacinthwind/core/membership"
+)
+
+func TestPromises(t *testing.T) {
+	tests := []struct {
+		name    string
+		locked  int64
+		query   membership.PromiseQuery
+		silent  bool
+		granted bool
+	}{
+		{"the store is silent for both", 0, membership.PromiseQuery{Assignment: 5, Config: 3}, true, true},
+		{"the store answers the voter", 0, membership.PromiseQuery{Assignment: 5, Config: 3}, false, false},
+		{"the owner knows an earlier assignment", 0, membership.PromiseQuery{Assignment: 4, Config: 3}, true, false},
+		{"the owner knows a later assignment", 0, membership.PromiseQuery{Assignment: 6, Config: 3}, true, false},
+		{"the owner lacks a configuration change", 0, membership.PromiseQuery{Assignment: 5, Config: 2}, true, false},
+		{"the assignment is locked", 5, membership.PromiseQuery{Assignment: 5, Config: 3}, true, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			now := time.Unix(1_800_000_000, 0)
+			var v membership.Voter
+			v.Learn(5)
+			if tt.locked > 0 {
+				granted, _ := v.Lock(now, membership.LockQuery{Assignment: tt.locked})
+				require.True(t, granted)
+			}
+			require.Equal(t, tt.granted, v.Promise(now, tt.query, tt.silent, 3))
+		})
+	}
+}
+
+func TestLocks(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	var v membership.Voter
+	v.Learn(5)
+	granted, _ := v.Lock(now, membership.LockQuery{Assignment: 4})
+	require.False(t, granted, "the proposer is late")
+	require.True(t, v.Promise(now, membership.PromiseQuery{Assignment: 5}, true, 0))
+	granted, wait := v.Lock(now.Add(time.Second), membership.LockQuery{Assignment: 5})
+	require.True(t, granted)
+	require.Equal(t, membership.PromiseTime-time.Second, wait, "a promise that was given still lasts")
+	v.Learn(6)
+	require.True(t, v.Promise(now, membership.PromiseQuery{Assignment: 6}, true, 0), "a new assignment ends the lock")
+}
+
+// TestARestoredNodeWritesTheAssignmentAnew covers a node that is listed again
+// while another may propose from a list without it.
+func TestARestoredNodeWritesTheAssignmentAnew(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	shard := membership.Shard{Kind: membership.KindTeam, Name: "a"}
+	k, _ := newOwner(now, shard)
+	before := k.OwnedUntil()
+	written := k.Restored(now, 12).Write
+	require.NotNil(t, written)
+	require.Equal(t, "x", written.Shards[shard].Node)
+	k.LeaseRenewed(now, before.Add(time.Hour))
+	require.Equal(t, before, k.OwnedUntil(), "the lease does not count yet")
+	written.Revision = 13
+	k.AssignmentChanged(now, *written)
+	k.LeaseRenewed(now, before.Add(time.Hour))
+	require.Equal(t, before.Add(time.Hour), k.OwnedUntil())
+}
