Run on the prepared platform: kernel of jobs, adapter, entry process

Cause: the platform of the users has one store, no disks, and executors that fence; the present nodes speak none of it. The way of a job, from the call to succeeded, stands thin: one owner by a lease in the store, its revision as the fencing token, ends acted on at once and acknowledged once stored.

--- a/commands/commands.go
+++ b/commands/commands.go
@@ -35,6 +35,7 @@
 type cli struct {
 	Demo  demoCommand  `cmd:"" help:"Run the whole system in one process against stand-ins and count which promises held."`
 	Serve serveCommand `cmd:"" help:"Run one entry node."`
+	Edge  edgeCommand  `cmd:"" help:"Run one entry node on the prepared platform."`
 
 	Config configCommand `cmd:"" help:"Check, apply and read the register and the rules."`
 	Zone   zoneCommand   `cmd:"" help:"Take data centres out of service and bring them back."`
--- /dev/null
+++ b/commands/edge.go
@@ -0,0 +1,68 @@
+package commands
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"jacinthwind/edge"
+	"jacinthwind/platform"
+)
+
+// Log buffering.
+const (
+	logBuffer = 256 << 10
+	logFlush  = 200 * time.Millisecond
+)
+
+// Connections that are kept to each peer.
+const (
+	storeConns  = 8
+	orderConns  = 3
+	lookConns   = 2
+	peerConns   = 16
+	singleConns = 2
+)
+
+type edgeCommand struct{}
+
+// Run implements the command; SIGTERM and SIGINT stop the process gracefully.
+func (c *edgeCommand) Run(ctx context.Context) error {
+	s, err := platform.ReadSettings()
+	if err != nil {
+		return err
+	}
+	out := &zapcore.BufferedWriteSyncer{WS: zapcore.AddSync(os.Stdout), Size: logBuffer, FlushInterval: logFlush}
+	defer func() { _ = out.Stop() }()
+	config := zap.NewProductionEncoderConfig()
+	config.EncodeTime = zapcore.EpochMillisTimeEncoder
+	log := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(config), out, zap.InfoLevel))
+	peers := platform.NewHTTPClient(peerConns, 0)
+	store := &platform.Store{Address: s.Platform.Address, Client: platform.NewHTTPClient(storeConns, 0)}
+	relay := &edge.Relay{Direct: store.Direct, Client: peers, Log: log}
+	store.Carry = relay.Carry
+	process := edge.New(edge.Settings{
+		Node: s.Node, Front: s.Listen.Front, Ready: s.Listen.Ready,
+		Peer:   net.JoinHostPort(s.IP, strconv.Itoa(s.PortRange[0])),
+		Bounds: s.Bounds.Cell(),
+	}, edge.Dependencies{
+		Store: store,
+		Workers: &platform.Workers{
+			Client: platform.NewHTTPClient(orderConns, orderConns),
+			Looks:  platform.NewHTTPClient(lookConns, lookConns),
+		},
+		VMs:     &platform.Machines{Address: s.CloudAPI.Address, Client: platform.NewHTTPClient(singleConns, singleConns)},
+		Advisor: &platform.Advisor{Address: s.Advice, Client: platform.NewHTTPClient(singleConns, singleConns)},
+		Codec:   platform.Codec{}, Relay: relay, PeerClient: peers, Log: log,
+	})
+	if err := process.Run(ctx); err != nil {
+		return fmt.Errorf("edge: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/core/cell/executors.go
@@ -0,0 +1,351 @@
+package cell
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"jacinthwind/core/fleet"
+	"jacinthwind/core/job"
+)
+
+// Thresholds on an executor's health.
+const (
+	// suspectMisses is after how many unanswered renewals an executor gets no
+	// more work.
+	suspectMisses = 1
+	// failStreak is after how many failed runs without a success an executor
+	// gets no more work for avoidFor.
+	failStreak = 2
+	avoidFor   = 4 * time.Second
+	// refusedFor is how long an executor that refused an order is left alone.
+	refusedFor = time.Second
+	// renewWait is how long an executor may hold a renewal back for an end.
+	renewWait = 1000
+	// endsPause is the shortest time between renewals of one executor, so that
+	// ends that come together are reported together.
+	endsPause = 30 * time.Millisecond
+	// unackedPause is the time between renewals while ends wait to be stored.
+	unackedPause = 250 * time.Millisecond
+	missPause    = 300 * time.Millisecond
+)
+
+// list takes the executors that are registered.
+func (k *Kernel) list(executors []fleet.Executor) {
+	k.listSeen = true
+	for _, x := range k.executors {
+		x.listed = false
+	}
+	for _, e := range executors {
+		x := k.executors[e.ID]
+		if x == nil {
+			x = &executor{Executor: e, runs: map[runKey]*run{}, knownSince: k.now.Mono}
+			k.executors[e.ID] = x
+		}
+		if x.born != 0 && e.Born > x.born {
+			k.reborn(x, e.Born)
+		}
+		x.Executor = e
+		x.listed = true
+	}
+}
+
+// reborn forgets what an earlier incarnation ran.
+func (k *Kernel) reborn(x *executor, born int64) {
+	k.log("executor_reborn", "executor", x.ID, "born", born, "runs", len(x.runs))
+	for _, r := range sortedRuns(x) {
+		if r.state != runStarting {
+			k.dropRun(r, "reborn")
+		}
+	}
+	x.born, x.fenced = born, false
+	x.ackSeq, x.seenSeq, x.clock, x.granted = 0, 0, 0, 0
+	x.failures, x.knownSince = 0, k.now.Mono
+	x.renewedAt = 0
+}
+
+// usable reports whether an executor may get new work.
+func (k *Kernel) usable(x *executor) bool {
+	return x.listed && x.fenced && !x.Draining && !x.cordoned && x.misses < suspectMisses &&
+		!k.evacuated[x.DataCentre] && x.avoid <= k.now.Mono
+}
+
+// lapsed reports whether all deadlines that were granted to an executor have
+// passed, also by a slow clock.
+func (k *Kernel) lapsed(x *executor) bool {
+	if k.now.Mono <= k.claimedAt+k.inheritedHold() {
+		return false
+	}
+	if x.clock == 0 {
+		return k.now.Mono > x.knownSince+k.inheritedHold()
+	}
+	return k.now.Mono > x.clockAt+stretch(time.Duration(x.granted-x.clock)*time.Millisecond)+lapseSlack
+}
+
+// inheritedHold bounds how long runs of an earlier owner go on.
+func (k *Kernel) inheritedHold() time.Duration {
+	return stretch(k.hold()) + lapseSlack
+}
+
+// hold is the length of the deadlines that are granted.
+func (k *Kernel) hold() time.Duration { return min(holdLength, k.HoldMax-holdMargin) }
+
+// stretch is the longest time by our clock in which a slow clock counts d.
+func stretch(d time.Duration) time.Duration { return d * clockDrift / 1000 }
+
+// deadline returns the latest deadline that may be granted now, on the
+// executor's clock: what is granted ends a fixed time after our ownership.
+func (k *Kernel) deadline(x *executor) int64 {
+	if x.clock == 0 {
+		return 0
+	}
+	left := min(k.hold(), k.until+k.outageHold()-k.now.Mono)
+	elapsed := k.now.Mono - x.clockAt
+	return x.clock + (elapsed + left).Milliseconds()
+}
+
+// outageHold is for how long past the proof of ownership runs may go on.
+func (k *Kernel) outageHold() time.Duration { return k.hold() }
+
+// checkExecutors drops the runs of executors that must have ended them.
+func (k *Kernel) checkExecutors() {
+	for _, id := range slices.Sorted(maps.Keys(k.executors)) {
+		x := k.executors[id]
+		silent := x.misses > 0 || !x.listed
+		if !silent || !k.lapsed(x) {
+			continue
+		}
+		for _, r := range sortedRuns(x) {
+			k.dropRun(r, "executor silent past its deadline")
+		}
+		if !x.listed {
+			k.log("executor_removed", "executor", x.ID)
+			delete(k.executors, id)
+		}
+	}
+}
+
+// dropRun gives up on a run that cannot be at work any more.
+func (k *Kernel) dropRun(r *run, reason string) {
+	k.log("run_lost", "task", r.name, "run", r.number, "executor", r.executor.ID, "reason", reason)
+	k.release(r)
+	if t := r.task(); t.current == r {
+		t.current = nil
+		k.waitAgain(r.step, r.index)
+	}
+}
+
+// release frees the room of a run.
+func (k *Kernel) release(r *run) {
+	key := runKey{r.name, r.number}
+	if r.executor.runs[key] != r {
+		return
+	}
+	delete(r.executor.runs, key)
+	r.executor.used = r.executor.used.Sub(r.reserved)
+	k.usage[r.step.job.Team] = k.usage[r.step.job.Team].Sub(r.charged)
+}
+
+func (r *run) task() *task { return &r.step.tasks[r.index] }
+
+// waitAgain lets a task wait for an executor.
+func (k *Kernel) waitAgain(s *stepRun, index int) {
+	t := &s.tasks[index]
+	if t.state != taskPlaced {
+		return
+	}
+	t.state = taskWaiting
+	s.waiting++
+}
+
+func sortedRuns(x *executor) []*run {
+	runs := slices.Collect(maps.Values(x.runs))
+	slices.SortFunc(runs, func(a, b *run) int {
+		if a.name != b.name {
+			if a.name < b.name {
+				return -1
+			}
+			return 1
+		}
+		return a.number - b.number
+	})
+	return runs
+}
+
+// renew keeps a renewal under way at every executor.
+func (k *Kernel) renew() {
+	for _, id := range slices.Sorted(maps.Keys(k.executors)) {
+		x := k.executors[id]
+		if x.renewing || (x.vm != "" && k.vmDown(x.vm)) {
+			continue
+		}
+		var pause time.Duration
+		wait := int64(renewWait)
+		switch {
+		case x.misses > 0:
+			pause, wait = missPause, 0
+		case !x.fenced:
+			wait = 0
+		case x.seenSeq > x.ackSeq:
+			pause, wait = unackedPause, 0
+		case len(x.runs) == 0:
+			// Nothing can end; the deadline only matters for starts.
+			pause, wait = renewEvery, 0
+		case k.hasUnresolved(x):
+			pause, wait = endsPause, 0
+		default:
+			pause = endsPause
+		}
+		if x.answeredAt != 0 && k.now.Mono < x.answeredAt+pause {
+			continue
+		}
+		x.renewing = true
+		x.renewedAt = k.now.Mono
+		order := fleet.Renewal{
+			Address: x.Address, Executor: x.ID, Token: k.Token,
+			Acknowledged: x.ackSeq, WaitMs: wait, DeadlineMs: k.deadline(x),
+		}
+		if order.DeadlineMs <= x.granted {
+			order.DeadlineMs = x.granted
+		}
+		x.granted = order.DeadlineMs
+		k.emit(Renew{order})
+	}
+}
+
+// hasUnresolved reports whether a look at the executor would settle a run.
+func (k *Kernel) hasUnresolved(x *executor) bool {
+	for _, r := range x.runs {
+		if r.state == runUnknown || (r.state == runStopping && r.stopped) {
+			return true
+		}
+	}
+	return false
+}
+
+// renewed takes an executor's answer to a renewal.
+func (k *Kernel) renewed(e Renewed) {
+	x := k.executors[e.Executor]
+	if x == nil {
+		return
+	}
+	x.renewing = false
+	x.answeredAt = k.now.Mono
+	s := e.State
+	switch s.Outcome {
+	case fleet.OrderDone:
+	case fleet.OrderFenced:
+		k.depose("executor " + x.ID + " has seen a higher token")
+		return
+	default:
+		x.misses++
+		if x.misses == 1 {
+			k.log("executor_silent", "executor", x.ID, "outcome", s.Outcome, "runs", len(x.runs))
+		}
+		return
+	}
+	if s.Born != 0 && s.Born != x.born {
+		if x.born != 0 {
+			k.reborn(x, s.Born)
+		}
+		x.born = s.Born
+	}
+	if x.misses > 0 {
+		k.log("executor_answers", "executor", x.ID, "misses", x.misses)
+	}
+	x.misses = 0
+	first := !x.fenced
+	x.fenced = true
+	x.clock, x.clockAt = s.ClockMs, k.now.Mono
+	for _, end := range s.Ended {
+		if end.Number > x.seenSeq {
+			k.ended(x, end)
+			x.seenSeq = end.Number
+		}
+	}
+	if x.seenSeq > x.ackSeq {
+		k.out.acks = append(k.out.acks, ack{x, x.born, x.seenSeq})
+	}
+	k.reconcile(x, e.Sent, s.Active, first)
+	if first {
+		// The first answer only fences; the next one grants a deadline.
+		x.answeredAt = 0
+	}
+	k.pace(x)
+}
+
+// reconcile compares what an executor runs with what it should run.
+func (k *Kernel) reconcile(x *executor, sent time.Duration, active []fleet.ActiveRun, first bool) {
+	there := make(map[runKey]bool, len(active))
+	for _, a := range active {
+		key := runKey{a.Task, a.Run}
+		there[key] = true
+		r := x.runs[key]
+		if r == nil {
+			r = k.adopt(x, a)
+		}
+		if r == nil {
+			k.emit(Stop{fleet.StopOrder{Address: x.Address, Executor: x.ID, Task: a.Task, Run: a.Run, Token: k.Token}})
+			k.log("run_not_wanted", "task", a.Task, "run", a.Run, "executor", x.ID)
+			continue
+		}
+		if r.state == runStarting || r.state == runUnknown {
+			r.state = runActive
+			r.settled, r.began = k.now.Mono, k.now.Mono
+		}
+		if a.Percent != r.percent || r.moved == 0 {
+			r.percent, r.moved = a.Percent, k.now.Mono
+		}
+		r.load = a.Load
+		if a.Checkpoint != "" {
+			r.task().saved = a.Checkpoint
+		}
+	}
+	for _, r := range sortedRuns(x) {
+		if there[runKey{r.name, r.number}] || r.settled == 0 || sent <= r.settled {
+			continue
+		}
+		switch {
+		case r.state == runUnknown:
+			k.stopRun(r)
+		case r.state == runStopping && !r.stopped:
+		case r.state != runStarting:
+			k.dropRun(r, "not listed by the executor")
+		}
+	}
+}
+
+// adopt takes over a run that an earlier owner started.
+func (k *Kernel) adopt(x *executor, a fleet.ActiveRun) *run {
+	id, err := job.ParseTaskID(a.Task)
+	if err != nil {
+		return nil
+	}
+	j := k.jobs[id.Job]
+	if j == nil || j.state.Ended() || !j.stored {
+		return nil
+	}
+	s := j.stepAt(id.Occurrence, id.Step)
+	if s == nil || id.Index >= len(s.tasks) {
+		return nil
+	}
+	t := &s.tasks[id.Index]
+	if !t.uncertain || t.state != taskWaiting || t.current != nil {
+		return nil
+	}
+	t.uncertain = false
+	r := k.place(x, s, id.Index, a.Run)
+	r.state, r.settled, r.began = runActive, k.now.Mono, k.now.Mono
+	k.markStarted(j)
+	k.log("run_adopted", "task", a.Task, "run", a.Run, "executor", x.ID)
+	return r
+}
+
+// stepAt returns a step of an occurrence, or nil.
+func (j *jobState) stepAt(occurrence, step int) *stepRun {
+	i := occurrence*len(j.Steps) + step
+	if step >= len(j.Steps) || i >= len(j.steps) {
+		return nil
+	}
+	return j.steps[i]
+}
--- /dev/null
+++ b/core/cell/kernel.go
@@ -0,0 +1,182 @@
+package cell
+
+import (
+	"time"
+
+	"jacinthwind/core/fleet"
+)
+
+// Settings are the bounds that the platform promises or asks for.
+type Settings struct {
+	// HoldMax is the longest time for which an executor lets its runs go on
+	// without a renewal.
+	HoldMax time.Duration
+	// StopMax is the longest time that a stop takes.
+	StopMax time.Duration
+	// OrderLease is the time after which another owner may order for a VM.
+	OrderLease time.Duration
+	// KeepEnded is for how long an ended job stays known.
+	KeepEnded time.Duration
+	// Upkeep is how long the maintenance of a VM takes.
+	Upkeep time.Duration
+	// Move is how long a VM takes to join another pool.
+	Move time.Duration
+}
+
+// The kernel's own times.
+const (
+	// renewEvery leaves two more tries before runs could lapse.
+	renewEvery = 1200 * time.Millisecond
+	// holdLength survives a takeover: lease, claim, and the first renewals.
+	holdLength = 4 * time.Second
+	// holdMargin keeps granted deadlines under the longest time allowed.
+	holdMargin = 500 * time.Millisecond
+	// clockDrift is how much slower an executor's clock may run, in percent,
+	// with half a percent for our own.
+	clockDrift = 1025
+	// lapseSlack covers the rounding of the executor's clock.
+	lapseSlack = 50 * time.Millisecond
+	// flushEvery bounds the number of writes; each costs a call to the store.
+	flushEvery = 40 * time.Millisecond
+	// stopRetry is when an unanswered stop is sent again.
+	stopRetry = 500 * time.Millisecond
+)
+
+// Kernel decides for the pools of one owner.
+type Kernel struct {
+	Settings
+	// Token fences orders; a later owner has a higher one.
+	Token int64
+	// RunBase is below every run that this owner starts.
+	RunBase int
+
+	now    Now
+	until  time.Duration
+	config *fleet.Configuration
+
+	jobs      map[string]*jobState
+	executors map[string]*executor
+	pools     map[string]*pool
+	// usage is what each team has running.
+	usage     map[string]fleet.Vector
+	evacuated map[string]bool
+	depth     map[string]int
+
+	// recovering holds back the tasks that an earlier owner may have started.
+	recovering  bool
+	claimedAt   time.Duration
+	listSeen    bool
+	uncertain   []*stepRun
+	unmatched   map[string][]fleet.ActiveRun
+	waves       map[int]*wave
+	vms         map[string]fleet.VM
+	vmsAt       time.Duration
+	vmsAsked    time.Duration
+	ordered     map[string]vmOrder
+	out         outbox
+	sweptAt     time.Duration
+	deposed     bool
+	effects     []Effect
+	paceCeiling map[string]int
+}
+
+// New returns a kernel that owns its pools from now on under token.
+func New(s Settings, now Now, token int64, runBase int) *Kernel {
+	return &Kernel{
+		Settings: s, Token: token, RunBase: runBase,
+		now: now, claimedAt: now.Mono, recovering: true,
+		jobs: map[string]*jobState{}, executors: map[string]*executor{},
+		pools: map[string]*pool{}, usage: map[string]fleet.Vector{},
+		evacuated: map[string]bool{}, depth: map[string]int{},
+		waves: map[int]*wave{}, vms: map[string]fleet.VM{},
+		ordered: map[string]vmOrder{},
+		config:  &fleet.Configuration{}, paceCeiling: map[string]int{},
+		out: outbox{dirty: map[string]*jobState{}, records: map[string]Record{}},
+	}
+}
+
+// Step handles an event and returns what the host has to do.
+func (k *Kernel) Step(now Now, e Event) []Effect {
+	if k.deposed {
+		return nil
+	}
+	k.now = now
+	k.effects = nil
+	switch e := e.(type) {
+	case Tick:
+	case Configured:
+		k.configure(e.Configuration)
+	case Listed:
+		k.list(e.Executors)
+	case Evacuated:
+		k.evacuate(e.DataCentres)
+	case WavesAsked:
+		k.askWaves(e.Waves)
+	case VMsListed:
+		k.listVMs(e.VMs)
+	case LeaseExtended:
+		k.until = max(k.until, e.Until)
+		return nil
+	case Submitted:
+		k.submit(e)
+	case CancelAsked:
+		k.cancel(e)
+	case Started:
+		k.startAnswered(e)
+	case Stopped:
+		k.stopAnswered(e)
+	case Renewed:
+		k.renewed(e)
+	case Written:
+		k.written(e.Write)
+	case VMOrdered:
+		k.vmOrdered(e)
+	case Advised:
+		k.advised(e)
+	}
+	k.checkExecutors()
+	k.recoverStep()
+	k.maintain()
+	k.schedule()
+	k.flush()
+	k.renew()
+	return k.effects
+}
+
+func (k *Kernel) emit(e Effect) { k.effects = append(k.effects, e) }
+
+func (k *Kernel) log(event string, fields ...any) {
+	k.emit(Log{Event: event, Fields: fields})
+}
+
+func (k *Kernel) depose(reason string) {
+	k.deposed = true
+	k.emit(Depose{Reason: reason})
+}
+
+func (k *Kernel) pool(name string) *pool {
+	p := k.pools[name]
+	if p == nil {
+		p = &pool{name: name}
+		k.pools[name] = p
+	}
+	return p
+}
+
+// configure takes a configuration unless a later one is in force.
+func (k *Kernel) configure(c *fleet.Configuration) {
+	if c.Version < k.config.Version {
+		return
+	}
+	k.config = c
+	for _, j := range k.jobs {
+		j.queue = c.Queue(j.Queue)
+	}
+}
+
+func (k *Kernel) evacuate(dataCentres []string) {
+	k.evacuated = map[string]bool{}
+	for _, dc := range dataCentres {
+		k.evacuated[dc] = true
+	}
+}
--- /dev/null
+++ b/core/cell/runs.go
@@ -0,0 +1,287 @@
+package cell
+
+import (
+	"time"
+
+	"jacinthwind/core/fleet"
+	"jacinthwind/core/job"
+)
+
+// place reserves room for a run of a task.
+func (k *Kernel) place(x *executor, s *stepRun, index, number int) *run {
+	t := &s.tasks[index]
+	r := &run{
+		step: s, index: index, number: number, executor: x,
+		name:     job.TaskID{Job: s.job.ID, Occurrence: s.k, Step: s.index, Index: index}.String(),
+		reserved: s.Reserved(), charged: s.Size, pace: 100,
+	}
+	x.runs[runKey{r.name, number}] = r
+	x.used = x.used.Add(r.reserved)
+	k.usage[s.job.Team] = k.usage[s.job.Team].Add(r.charged)
+	if t.state == taskWaiting {
+		s.waiting--
+	}
+	t.state, t.current = taskPlaced, r
+	t.run = max(t.run, number)
+	return r
+}
+
+// start sends a task to an executor.
+func (k *Kernel) start(x *executor, s *stepRun, index, number int) {
+	r := k.place(x, s, index, number)
+	r.state, r.sent = runStarting, k.now.Mono
+	deadline := max(k.deadline(x), x.granted)
+	x.granted = deadline
+	k.emit(Start{fleet.StartOrder{
+		Address: x.Address, Executor: x.ID, Task: r.name, Run: number, Spec: s.job.Spec,
+		DeadlineMs: deadline, Token: k.Token, Checkpoint: s.tasks[index].saved,
+		Ticket: s.tickets[x.ID],
+	}})
+	k.log("run_started", "task", r.name, "run", number, "executor", x.ID, "waited_ms", (k.now.Mono - s.readyAt).Milliseconds())
+	k.markStarted(s.job)
+}
+
+// startAnswered takes an executor's answer to a start.
+func (k *Kernel) startAnswered(e Started) {
+	x := k.executors[e.Executor]
+	if x == nil {
+		return
+	}
+	r := x.runs[runKey{e.Task, e.Run}]
+	if r == nil {
+		return
+	}
+	if e.Answer.Outcome != fleet.OrderDone {
+		k.log("start_answered", "task", e.Task, "run", e.Run, "executor", x.ID, "outcome", e.Answer.Outcome)
+	}
+	if e.Answer.ClockMs > 0 {
+		x.clock, x.clockAt = e.Answer.ClockMs, k.now.Mono
+	}
+	r.settled = k.now.Mono
+	switch e.Answer.Outcome {
+	case fleet.OrderDone:
+		if r.state == runStarting || r.state == runUnknown {
+			r.state, r.began, r.moved = runActive, k.now.Mono, k.now.Mono
+		}
+	case fleet.OrderUnknown:
+		if r.state == runStarting {
+			r.state = runUnknown
+		}
+		x.misses = max(x.misses, suspectMisses)
+	case fleet.OrderFenced:
+		k.depose("executor " + x.ID + " has seen a higher token")
+	default:
+		k.startRefused(x, r, e.Answer.Outcome)
+	}
+}
+
+// startRefused lets a task that did not start wait again.
+func (k *Kernel) startRefused(x *executor, r *run, outcome fleet.OrderOutcome) {
+	k.release(r)
+	t := r.task()
+	if t.current == r {
+		t.current = nil
+		k.waitAgain(r.step, r.index)
+	}
+	switch outcome {
+	case fleet.OrderOtherIncarnation, fleet.OrderRefused, fleet.OrderInvalid:
+		x.avoid = k.now.Mono + refusedFor
+	case fleet.OrderNoRoom, fleet.OrderLate:
+		x.avoid = k.now.Mono + endsPause
+	case fleet.OrderNoTicket:
+		delete(r.step.tickets, x.ID)
+	}
+}
+
+// stopRun ends a run; its room is free once its end is listed.
+func (k *Kernel) stopRun(r *run) {
+	if r.state == runStopping && (r.stopped || k.now.Mono < r.stopSent+stopRetry) {
+		return
+	}
+	r.state, r.stopSent = runStopping, k.now.Mono
+	x := r.executor
+	k.emit(Stop{fleet.StopOrder{Address: x.Address, Executor: x.ID, Task: r.name, Run: r.number, Token: k.Token}})
+}
+
+// stopAnswered takes an executor's answer to a stop.
+func (k *Kernel) stopAnswered(e Stopped) {
+	x := k.executors[e.Executor]
+	if x == nil {
+		return
+	}
+	if e.Answer.Outcome == fleet.OrderFenced {
+		k.depose("executor " + x.ID + " has seen a higher token")
+		return
+	}
+	r := x.runs[runKey{e.Task, e.Run}]
+	if r == nil || r.state != runStopping {
+		return
+	}
+	if e.Answer.Outcome == fleet.OrderDone {
+		r.stopped, r.settled = true, k.now.Mono
+	}
+}
+
+// ended takes the end of a run.
+func (k *Kernel) ended(x *executor, e fleet.EndedRun) {
+	r := x.runs[runKey{e.Task, e.Run}]
+	if r == nil {
+		k.endedUnplaced(e)
+		return
+	}
+	k.release(r)
+	t := r.task()
+	if t.current != r {
+		return
+	}
+	t.current = nil
+	k.settleEnd(r.step, r.index, x, e)
+}
+
+// endedUnplaced takes the end of a run that an earlier owner started.
+func (k *Kernel) endedUnplaced(e fleet.EndedRun) {
+	id, err := job.ParseTaskID(e.Task)
+	if err != nil {
+		return
+	}
+	j := k.jobs[id.Job]
+	if j == nil || j.state.Ended() {
+		return
+	}
+	s := j.stepAt(id.Occurrence, id.Step)
+	if s == nil || id.Index >= len(s.tasks) {
+		return
+	}
+	t := &s.tasks[id.Index]
+	if !t.uncertain || t.state != taskWaiting || e.Run <= t.run {
+		return
+	}
+	t.run = e.Run
+	t.state = taskPlaced
+	s.waiting--
+	k.markStarted(j)
+	k.settleEnd(s, id.Index, nil, e)
+}
+
+// settleEnd changes a task by the end of its current run; x is nil where an
+// earlier owner started it.
+func (k *Kernel) settleEnd(s *stepRun, index int, x *executor, e fleet.EndedRun) {
+	t := &s.tasks[index]
+	t.ended = true
+	t.run = max(t.run, e.Run)
+	if e.Checkpoint != "" {
+		t.saved = e.Checkpoint
+	}
+	k.log("run_ended", "task", e.Task, "run", e.Run, "how", e.How)
+	j := s.job
+	if j.state.Ended() {
+		t.state = taskDone
+		return
+	}
+	switch {
+	case e.How == fleet.EndDone && !s.Service:
+		k.taskDone(s, index, x)
+	case e.How == fleet.EndFailed:
+		k.taskFailed(s, index, x)
+	default:
+		k.waitAgain(s, index)
+	}
+	k.touch(j)
+}
+
+func (k *Kernel) taskDone(s *stepRun, index int, x *executor) {
+	if x != nil {
+		x.failures, x.succeeded = 0, k.now.Mono
+	}
+	t := &s.tasks[index]
+	t.state, t.uncertain = taskDone, false
+	s.done++
+	j := s.job
+	if !s.Fills {
+		k.pool(j.Pool).backlog -= s.Size.CPU * s.EstimateMs
+	}
+	if s.Gang {
+		k.gangDone(s)
+	}
+	if s.done < s.Count {
+		return
+	}
+	j.open--
+	if j.open == 0 {
+		k.log("job_succeeded", "job", j.ID, "took_ms", (k.now.Mono - j.arrived).Milliseconds(), "objective_ms", (j.due - j.arrived).Milliseconds())
+		j.state, j.endedMs = job.Succeeded, k.now.UnixMs
+		return
+	}
+	k.unblock(s)
+}
+
+// unblock activates the steps that waited for s alone.
+func (k *Kernel) unblock(s *stepRun) {
+	j := s.job
+	for _, next := range j.steps {
+		if next.k != s.k {
+			continue
+		}
+		for _, a := range next.After {
+			if a == s.index {
+				next.waitsFor--
+			}
+		}
+		if next.waitsFor == 0 && !next.active && j.stored {
+			k.activate(next)
+		}
+	}
+}
+
+// gangDone settles all members by the end of one.
+func (k *Kernel) gangDone(s *stepRun) {
+	for i := range s.tasks {
+		t := &s.tasks[i]
+		if t.state == taskDone {
+			continue
+		}
+		if t.state == taskWaiting {
+			s.waiting--
+		}
+		if t.current != nil {
+			k.release(t.current)
+			t.current = nil
+		}
+		t.state, t.ended = taskDone, true
+		s.done++
+		k.pool(s.job.Pool).backlog -= s.Size.CPU * s.EstimateMs
+	}
+}
+
+// Pauses before a failed task starts again.
+const (
+	firstFailPause = 50 * time.Millisecond
+	maxFailPause   = time.Second
+)
+
+func (k *Kernel) taskFailed(s *stepRun, index int, x *executor) {
+	t := &s.tasks[index]
+	t.failures++
+	if x != nil {
+		t.failedOn = x.ID
+		x.failures++
+		x.failedAt = k.now.Mono
+		if x.failures >= failStreak {
+			x.avoid = k.now.Mono + avoidFor
+			k.log("executor_avoided", "executor", x.ID, "failures", x.failures)
+		}
+	}
+	attempts := 1
+	if q := s.job.queue; q != nil {
+		attempts = max(q.Attempts, 1)
+	}
+	if !s.Service && t.failures >= attempts {
+		t.state = taskFailed
+		k.log("job_failed", "job", s.job.ID, "step", s.index, "task", index, "failures", t.failures)
+		k.endJob(s.job, job.Failed)
+		return
+	}
+	pause := min(firstFailPause<<min(t.failures-1, 5), maxFailPause)
+	t.notBefore = k.now.Mono + pause
+	k.waitAgain(s, index)
+}
--- /dev/null
+++ b/core/cell/state.go
@@ -0,0 +1,166 @@
+package cell
+
+import (
+	"time"
+
+	"jacinthwind/core/fleet"
+	"jacinthwind/core/job"
+)
+
+// jobState is a job with its way so far.
+type jobState struct {
+	*job.Job
+	state job.State
+	// visible is the state that is stored, which callers may see.
+	visible job.State
+	// stored says that the store holds the job, so that it may run.
+	stored bool
+	// started says that a task has begun.
+	started bool
+	endedMs int64
+	// recovered says that an earlier owner may know of the job.
+	recovered bool
+	// arrived is when the objective began to count.
+	arrived time.Duration
+	// due is when the latency objective passes.
+	due     time.Duration
+	steps   []*stepRun
+	open    int
+	queue   *fleet.Queue
+	dirty   bool
+	cancels []CallID
+	calls   []CallID
+}
+
+// stepRun is one step of one occurrence of a job.
+type stepRun struct {
+	job   *jobState
+	k     int
+	index int
+	*job.Step
+	tasks []task
+	// waitsFor counts the earlier steps that are not done.
+	waitsFor int
+	waiting  int
+	done     int
+	readyAt  time.Duration
+	// notBefore is the Unix time in ms of a scheduled occurrence.
+	notBefore int64
+	active    bool
+	// tail is the estimated time from the step's begin to the job's end.
+	tail time.Duration
+	// tickets are what the advice service allows, by executor.
+	tickets     map[string]string
+	ticketsEnd  time.Duration
+	adviceAsked time.Duration
+}
+
+// taskState is where a task stands.
+type taskState uint8
+
+const (
+	// taskWaiting also covers tasks whose step is not ready.
+	taskWaiting taskState = iota
+	taskPlaced
+	taskDone
+	taskFailed
+)
+
+// task is one task of a step.
+type task struct {
+	state    taskState
+	run      int
+	failures int
+	saved    string
+	ended    bool
+	// uncertain tasks may run at an executor that has not answered this owner.
+	uncertain bool
+	failedOn  string
+	notBefore time.Duration
+	current   *run
+}
+
+// runState is where a run stands.
+type runState uint8
+
+const (
+	runStarting runState = iota
+	// runUnknown means that a start got no answer.
+	runUnknown
+	runActive
+	runStopping
+)
+
+// run is one start of a task on an executor; it holds room until it is known
+// to have ended.
+type run struct {
+	step     *stepRun
+	index    int
+	number   int
+	name     string
+	executor *executor
+	state    runState
+	reserved fleet.Vector
+	// charged is what the run takes of the team's limit.
+	charged fleet.Vector
+	sent    time.Duration
+	// settled is when the last answer on the run arrived.
+	settled  time.Duration
+	stopSent time.Duration
+	stopped  bool
+	percent  int
+	// moved is when the percent last changed.
+	moved time.Duration
+	began time.Duration
+	load  int64
+	pace  int
+	paced time.Duration
+}
+
+// runKey names a run at an executor.
+type runKey struct {
+	task string
+	run  int
+}
+
+// executor is an executor as the owner knows it.
+type executor struct {
+	fleet.Executor
+	listed bool
+	// fenced says that the incarnation has answered a call with our token.
+	fenced bool
+	born   int64
+	used   fleet.Vector
+	runs   map[runKey]*run
+	// clock is the executor's clock at the time clockAt.
+	clock   int64
+	clockAt time.Duration
+	// granted is the latest deadline that was sent, on the executor's clock.
+	granted int64
+	// knownSince bounds the deadlines that an earlier owner granted.
+	knownSince time.Duration
+	ackSeq     int64
+	seenSeq    int64
+	renewing   bool
+	renewedAt  time.Duration
+	answeredAt time.Duration
+	misses     int
+	// failures counts failed runs since the last success.
+	failures  int
+	failedAt  time.Duration
+	succeeded time.Duration
+	avoid     time.Duration
+	vm        string
+	cordoned  bool
+}
+
+// pool is a pool with the steps that wait for it.
+type pool struct {
+	name  string
+	ready []*stepRun
+	// backlog is the estimated work that is accepted and not done, in
+	// thousandths of a core times ms.
+	backlog int64
+	// speed corrects the callers' estimates by what runs really took.
+	refused int
+}
--- /dev/null
+++ b/core/cell/submit.go
@@ -0,0 +1,237 @@
+package cell
+
+import (
+	"time"
+
+	"jacinthwind/core/fleet"
+	"jacinthwind/core/job"
+)
+
+// Backlog and retry constants.
+const (
+	// minRetryAfter and maxRetryAfter bound when refused callers return; four
+	// retries fit the usual deadline for handing a job in.
+	minRetryAfter = 300 * time.Millisecond
+	maxRetryAfter = 2 * time.Second
+	defaultSlack  = 600 * time.Millisecond
+)
+
+// submit takes a job, refuses it, or joins the one that has its id.
+func (k *Kernel) submit(e Submitted) {
+	if j := k.jobs[e.Job.ID]; j != nil {
+		if j.stored {
+			k.emit(Reply{e.Call, Answer{Verdict: Accepted}})
+			return
+		}
+		j.calls = append(j.calls, e.Call)
+		return
+	}
+	queue := k.config.Queue(e.Job.Queue)
+	if queue == nil {
+		k.emit(Reply{e.Call, Answer{Verdict: Absent, Reason: "no such queue"}})
+		return
+	}
+	e.Job.Pool = queue.Pool
+	e.Job.AcceptedMs = k.now.UnixMs
+	if a := k.admit(e.Job, queue); a.Verdict != Accepted {
+		k.pool(queue.Pool).refused++
+		k.log("job_refused", "job", e.Job.ID, "queue", queue.Name, "team", e.Job.Team, "reason", a.Reason, "retry_after_ms", a.RetryAfter.Milliseconds())
+		k.emit(Reply{e.Call, a})
+		return
+	}
+	j := k.addJob(e.Job, job.Progress{State: job.Pending})
+	j.calls = append(j.calls, e.Call)
+	k.touch(j)
+}
+
+// admit decides whether a job can be done in time.
+func (k *Kernel) admit(j *job.Job, queue *fleet.Queue) Answer {
+	largest, capacity := k.capacity(queue.Pool)
+	for i := range j.Steps {
+		if r := j.Steps[i].Reserved(); !r.FitsIn(largest) && largest != (fleet.Vector{}) {
+			return Answer{Verdict: Unservable, Reason: "a task is larger than every executor"}
+		}
+	}
+	if j.Lasting() || j.Times > 0 {
+		return Answer{Verdict: Accepted}
+	}
+	if capacity.CPU <= 0 {
+		return Answer{Verdict: Refused, RetryAfter: maxRetryAfter, Reason: "no executor to serve the queue"}
+	}
+	p := k.pool(queue.Pool)
+	wait := time.Duration(p.backlog/capacity.CPU) * time.Millisecond
+	chain := j.Chain()
+	objective := objectiveOf(queue, chain)
+	if wait+chain <= objective {
+		return Answer{Verdict: Accepted}
+	}
+	retry := min(max(wait+chain-objective, minRetryAfter), maxRetryAfter)
+	return Answer{Verdict: Refused, RetryAfter: retry, Reason: "the backlog exceeds the latency objective"}
+}
+
+func objectiveOf(queue *fleet.Queue, chain time.Duration) time.Duration {
+	if queue == nil {
+		return chain + defaultSlack
+	}
+	return time.Duration(queue.Stretch*float64(chain)) + queue.Objective
+}
+
+// capacity returns the largest room in the fleet and what the pool's usable
+// executors can give to work that ends.
+func (k *Kernel) capacity(pool string) (largest, sum fleet.Vector) {
+	for _, x := range k.executors {
+		largest = fleet.Vector{CPU: max(largest.CPU, x.Room.CPU), Mem: max(largest.Mem, x.Room.Mem), GPU: max(largest.GPU, x.Room.GPU)}
+		if x.Pool != pool || !k.usable(x) {
+			continue
+		}
+		sum = sum.Add(x.Room)
+		for _, r := range x.runs {
+			if r.step.Service {
+				sum = sum.Sub(r.reserved)
+			}
+		}
+	}
+	return largest, sum
+}
+
+// addJob makes the state of a job that is new or was stored.
+func (k *Kernel) addJob(spec *job.Job, p job.Progress) *jobState {
+	queue := k.config.Queue(spec.Queue)
+	age := time.Duration(max(k.now.UnixMs-spec.AcceptedMs, 0)) * time.Millisecond
+	j := &jobState{Job: spec, state: p.State, visible: p.State, queue: queue, endedMs: p.EndedMs}
+	j.arrived = k.now.Mono - age
+	j.due = j.arrived + objectiveOf(queue, spec.Chain())
+	k.jobs[spec.ID] = j
+	if p.State.Ended() {
+		j.stored, j.started = true, true
+		return j
+	}
+	tails := tails(spec)
+	for occ := range spec.Occurrences() {
+		first := len(j.steps)
+		for i := range spec.Steps {
+			s := &stepRun{job: j, k: occ, index: i, Step: &spec.Steps[i], tail: tails[i]}
+			s.tasks = make([]task, s.Count)
+			s.waiting = s.Count
+			if spec.Times > 0 {
+				s.notBefore = spec.StartMs + int64(occ)*spec.IntervalMs
+			}
+			j.steps = append(j.steps, s)
+		}
+		for _, s := range j.steps[first:] {
+			s.waitsFor = len(s.After)
+		}
+	}
+	j.open = len(j.steps)
+	if spec.Times == 0 {
+		k.depth[spec.Queue]++
+	}
+	k.pool(spec.Pool).backlog += spec.Work()
+	return j
+}
+
+// tails returns for each step the longest estimated way to the job's end.
+func tails(j *job.Job) []time.Duration {
+	t := make([]time.Duration, len(j.Steps))
+	for i := len(j.Steps) - 1; i >= 0; i-- {
+		t[i] += j.Steps[i].Estimate()
+		for _, a := range j.Steps[i].After {
+			t[a] = max(t[a], t[i])
+		}
+	}
+	return t
+}
+
+// begin lets the first steps of a stored job wait for executors.
+func (k *Kernel) begin(j *jobState) {
+	if j.state.Ended() {
+		return
+	}
+	for _, s := range j.steps {
+		if s.waitsFor == 0 && !s.active {
+			k.activate(s)
+		}
+	}
+}
+
+// activate puts a step whose turn has come among those that wait.
+func (k *Kernel) activate(s *stepRun) {
+	s.active = true
+	s.readyAt = k.now.Mono
+	p := k.pool(s.job.Pool)
+	p.ready = append(p.ready, s)
+}
+
+// cancel ends a job at its caller's wish.
+func (k *Kernel) cancel(e CancelAsked) {
+	j := k.jobs[e.Job]
+	if j == nil {
+		k.emit(Reply{e.Call, Answer{Verdict: Absent}})
+		return
+	}
+	if j.state.Ended() {
+		if j.dirty || j.visible != j.state {
+			j.cancels = append(j.cancels, e.Call)
+			return
+		}
+		k.emit(Reply{e.Call, Answer{Verdict: Ended}})
+		return
+	}
+	j.cancels = append(j.cancels, e.Call)
+	k.log("job_cancelled", "job", j.ID)
+	k.endJob(j, job.Cancelled)
+}
+
+// endJob makes a state final and stops what still runs.
+func (k *Kernel) endJob(j *jobState, state job.State) {
+	k.markStarted(j)
+	p := k.pool(j.Pool)
+	for _, s := range j.steps {
+		if !s.Service && !s.Fills {
+			p.backlog -= int64(s.Count-s.done) * s.Size.CPU * s.EstimateMs
+		}
+		for i := range s.tasks {
+			if r := s.tasks[i].current; r != nil {
+				k.stopRun(r)
+			}
+		}
+	}
+	if j.Times > 0 {
+		// The work of one occurrence was counted.
+		p.backlog = max(p.backlog, 0)
+	}
+	j.state = state
+	j.endedMs = k.now.UnixMs
+	k.touch(j)
+}
+
+// markStarted takes the job out of its queue's depth.
+func (k *Kernel) markStarted(j *jobState) {
+	if j.started {
+		return
+	}
+	j.started = true
+	if j.Times == 0 {
+		k.depth[j.Queue]--
+	}
+	if !j.state.Ended() {
+		j.state = job.Running
+		j.visible = job.Running
+	}
+}
+
+// StateOf returns a job's state as its caller may see it.
+func (k *Kernel) StateOf(id string) (job.State, bool) {
+	j := k.jobs[id]
+	if j == nil || !j.stored {
+		return "", false
+	}
+	return j.visible, true
+}
+
+// Depth returns how many accepted jobs of a queue have not begun.
+func (k *Kernel) Depth(queue string) int { return max(k.depth[queue], 0) }
+
+// Proved reports whether the ownership is proved at a time, so that a job that
+// is not known does not exist.
+func (k *Kernel) Proved(now time.Duration) bool { return now < k.until }
--- /dev/null
+++ b/core/cell/wave.go
@@ -0,0 +1,303 @@
+package cell
+
+import (
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"jacinthwind/core/fleet"
+)
+
+// Maintenance constants.
+const (
+	// listVMsEvery is the time between readings of the list while orders are
+	// under way; the list is priced per call.
+	listVMsEvery = 500 * time.Millisecond
+	// vmOrderRetry is when an unanswered or refused order is sent again.
+	vmOrderRetry = time.Second
+	// cordonAhead is how many VMs beyond the cap are emptied in advance.
+	cordonAhead = 2
+	// forceShare is the share of a wave's time, in percent, after which work
+	// that ends is cut short for it.
+	forceShare = 60
+)
+
+// wave is a wave of maintenance with its way so far.
+type wave struct {
+	fleet.Wave
+	asked time.Duration
+	done  map[string]bool
+	// status is what operators were told, empty before the first report.
+	status string
+}
+
+// vmOrder is an order for a VM that may be under way.
+type vmOrder struct {
+	wave int
+	pool string
+	sent time.Duration
+	// answered says that the order is known to be carried out.
+	answered bool
+	// executor is the VM's executor when the order was sent.
+	executor string
+}
+
+// WaveProgress is what is stored of a wave's way.
+type WaveProgress struct {
+	Done []string `json:"done"`
+}
+
+// Status values that operators read.
+const (
+	waveRunning   = "running"
+	waveSucceeded = "succeeded"
+)
+
+// askWaves takes the waves that operators ask for.
+func (k *Kernel) askWaves(waves []fleet.Wave) {
+	for _, w := range waves {
+		if known := k.waves[w.Number]; known != nil {
+			known.Wave = w
+			continue
+		}
+		k.waves[w.Number] = &wave{Wave: w, asked: k.now.Mono, done: map[string]bool{}}
+		k.log("wave_asked", "wave", w.Number, "vms", len(w.VMs), "cap", w.Cap, "within_s", w.Within)
+	}
+}
+
+// LoadWave takes a wave's progress from the store before the first event.
+func (k *Kernel) LoadWave(number int, p WaveProgress) {
+	w := &wave{Wave: fleet.Wave{Number: number}, asked: k.now.Mono, done: map[string]bool{}}
+	for _, vm := range p.Done {
+		w.done[vm] = true
+	}
+	k.waves[number] = w
+}
+
+// listVMs takes the platform's list of VMs.
+func (k *Kernel) listVMs(vms []fleet.VM) {
+	k.vmsAt = k.now.Mono
+	k.vms = make(map[string]fleet.VM, len(vms))
+	for _, x := range k.executors {
+		x.vm = ""
+	}
+	for _, vm := range vms {
+		k.vms[vm.Name] = vm
+		if x := k.executors[vm.Executor]; x != nil && vm.Executor != "" {
+			x.vm = vm.Name
+		}
+		k.settleVMOrder(vm)
+	}
+}
+
+// settleVMOrder ends an order whose VM is back.
+func (k *Kernel) settleVMOrder(vm fleet.VM) {
+	o, ok := k.ordered[vm.Name]
+	if !ok || !o.answered || vm.State != fleet.VMUp || vm.Executor == "" {
+		return
+	}
+	if vm.Executor == o.executor && k.now.Mono < o.sent+k.Upkeep {
+		return
+	}
+	delete(k.ordered, vm.Name)
+}
+
+// vmDown reports whether a VM is down by an order.
+func (k *Kernel) vmDown(vm string) bool {
+	o, ok := k.ordered[vm]
+	return ok && o.answered
+}
+
+// maintain drives all waves.
+func (k *Kernel) maintain() {
+	busy := len(k.ordered) > 0
+	for _, n := range slices.Sorted(maps.Keys(k.waves)) {
+		w := k.waves[n]
+		if w.status == waveSucceeded || len(w.VMs) == 0 {
+			continue
+		}
+		busy = true
+		if k.vmsAt == 0 || k.now.Mono < k.claimedAt+k.OrderLease || k.recovering || k.now.Mono > k.until {
+			continue
+		}
+		k.driveWave(w)
+	}
+	if (busy || k.vmsAt == 0) && k.now.Mono >= k.vmsAsked+listVMsEvery {
+		k.vmsAsked = k.now.Mono
+		k.emit(ListVMs{})
+	}
+}
+
+// driveWave empties the next VMs of a wave and orders their maintenance.
+func (k *Kernel) driveWave(w *wave) {
+	k.reportWave(w, waveRunning)
+	down := 0
+	var open []string
+	for _, name := range w.VMs {
+		if o, ok := k.ordered[name]; ok {
+			down++
+			if !o.answered && k.now.Mono > o.sent+vmOrderRetry {
+				k.orderUpkeep(w, name)
+			}
+			continue
+		}
+		vm, there := k.vms[name]
+		switch {
+		case w.done[name]:
+		case !there:
+			k.finishVM(w, name)
+		case vm.State == fleet.VMUpkeep:
+			down++
+		default:
+			open = append(open, name)
+		}
+	}
+	if len(open) == 0 && down == 0 {
+		k.reportWave(w, waveSucceeded)
+		k.log("wave_succeeded", "wave", w.Number, "took_ms", (k.now.Mono - w.asked).Milliseconds())
+		return
+	}
+	slices.SortStableFunc(open, func(a, b string) int { return k.burden(a) - k.burden(b) })
+	late := (k.now.Mono-w.asked).Seconds()*100 > w.Within*forceShare
+	for i, name := range open {
+		x := k.executors[k.vms[name].Executor]
+		if down < w.Cap && k.vms[name].State == fleet.VMUp && k.emptied(x, late) {
+			k.orderUpkeep(w, name)
+			down++
+			continue
+		}
+		if x != nil {
+			x.cordoned = i < w.Cap+cordonAhead-down
+			if x.cordoned {
+				k.vacate(x)
+			}
+		}
+	}
+}
+
+// burden counts what stands against the maintenance of a VM now.
+func (k *Kernel) burden(vm string) int {
+	x := k.executors[k.vms[vm].Executor]
+	if x == nil {
+		return 0
+	}
+	n := 2 * len(x.runs)
+	for _, r := range x.runs {
+		if r.step.Service && !k.mayDisrupt(r) {
+			n += 100
+		}
+	}
+	if x.cordoned {
+		n--
+	}
+	return n
+}
+
+// emptied reports whether nothing is lost by taking an executor down.
+func (k *Kernel) emptied(x *executor, late bool) bool {
+	if x == nil || len(x.runs) == 0 {
+		return true
+	}
+	if !late {
+		return false
+	}
+	for _, r := range x.runs {
+		if r.step.Service && r.step.MaxUnavailable > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// vacate stops the service runs of a cordoned executor as their disruption
+// budgets allow, so that they start elsewhere.
+func (k *Kernel) vacate(x *executor) {
+	for _, r := range sortedRuns(x) {
+		if r.step.Service && (r.state == runActive) && k.mayDisrupt(r) {
+			k.log("run_vacated", "task", r.name, "run", r.number, "executor", x.ID)
+			k.stopRun(r)
+		}
+	}
+}
+
+// mayDisrupt reports whether the step's disruption budget allows to end a run.
+func (k *Kernel) mayDisrupt(r *run) bool {
+	s := r.step
+	if s.MaxUnavailable == 0 {
+		return true
+	}
+	away := 0
+	for i := range s.tasks {
+		t := &s.tasks[i]
+		if t.current != r && (t.current == nil || t.current.state != runActive || t.current.percent < 100) {
+			away++
+		}
+	}
+	return away < s.MaxUnavailable
+}
+
+// orderUpkeep sends the order for a VM's maintenance.
+func (k *Kernel) orderUpkeep(w *wave, name string) {
+	o, again := k.ordered[name]
+	if !again {
+		o.executor = k.vms[name].Executor
+	}
+	o.wave, o.sent = w.Number, k.now.Mono
+	k.ordered[name] = o
+	if x := k.executors[o.executor]; x != nil {
+		x.cordoned = true
+	}
+	k.log("upkeep_ordered", "vm", name, "wave", w.Number, "executor", o.executor)
+	k.emit(MaintainVM{VM: name, Wave: w.Number, Token: k.Token})
+}
+
+// finishVM notes that a VM of a wave needs no more.
+func (k *Kernel) finishVM(w *wave, name string) {
+	w.done[name] = true
+	n := strconv.Itoa(w.Number)
+	k.out.records["wave/"+n] = Record{WaveRecord, n, WaveProgress{Done: slices.Sorted(maps.Keys(w.done))}}
+}
+
+// reportWave lets operators see a wave's state.
+func (k *Kernel) reportWave(w *wave, status string) {
+	if w.status == status {
+		return
+	}
+	w.status = status
+	n := strconv.Itoa(w.Number)
+	k.out.records["status/"+n] = Record{WaveStatus, n, status}
+}
+
+// vmOrdered takes the answer to an order for a VM.
+func (k *Kernel) vmOrdered(e VMOrdered) {
+	o, ok := k.ordered[e.VM]
+	if !ok {
+		return
+	}
+	k.log("vm_order_answered", "vm", e.VM, "outcome", e.Outcome)
+	w := k.waves[o.wave]
+	switch e.Outcome {
+	case fleet.VMOrderDone:
+		o.answered = true
+		k.ordered[e.VM] = o
+		if x := k.executors[o.executor]; x != nil {
+			for _, r := range sortedRuns(x) {
+				k.dropRun(r, "the VM is down for maintenance")
+			}
+			x.listed = false
+		}
+		if w != nil {
+			k.finishVM(w, e.VM)
+		}
+	case fleet.VMOrderNotOfWave, fleet.VMOrderInvalid:
+		delete(k.ordered, e.VM)
+		if w != nil {
+			k.finishVM(w, e.VM)
+		}
+	case fleet.VMOrderBusy, fleet.VMOrderRefused:
+		delete(k.ordered, e.VM)
+	case fleet.VMOrderFenced:
+		k.depose("an order for VM " + e.VM + " was fenced")
+	}
+}
--- /dev/null
+++ b/core/fleet/vector.go
@@ -0,0 +1,39 @@
+package fleet
+
+// Vector is an amount of each resource.
+type Vector struct {
+	// CPU is in thousandths of a core.
+	CPU int64 `json:"cpu,omitempty"`
+	// Mem is in MB.
+	Mem int64 `json:"mem,omitempty"`
+	// GPU counts accelerators.
+	GPU int64 `json:"gpu,omitempty"`
+}
+
+// Add returns v plus w.
+func (v Vector) Add(w Vector) Vector {
+	return Vector{v.CPU + w.CPU, v.Mem + w.Mem, v.GPU + w.GPU}
+}
+
+// Sub returns v minus w.
+func (v Vector) Sub(w Vector) Vector {
+	return Vector{v.CPU - w.CPU, v.Mem - w.Mem, v.GPU - w.GPU}
+}
+
+// Times returns v multiplied by n.
+func (v Vector) Times(n int64) Vector {
+	return Vector{v.CPU * n, v.Mem * n, v.GPU * n}
+}
+
+// FitsIn reports whether no component of v exceeds that of room.
+func (v Vector) FitsIn(room Vector) bool {
+	return v.CPU <= room.CPU && v.Mem <= room.Mem && v.GPU <= room.GPU
+}
+
+// Within reports whether v keeps the limit, in which a component of zero means
+// that there is none.
+func (v Vector) Within(limit Vector) bool {
+	return (limit.CPU == 0 || v.CPU <= limit.CPU) &&
+		(limit.Mem == 0 || v.Mem <= limit.Mem) &&
+		(limit.GPU == 0 || v.GPU <= limit.GPU)
+}
--- /dev/null
+++ b/edge/load.go
@@ -0,0 +1,41 @@
+package edge
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"jacinthwind/core"
+	"jacinthwind/core/cell"
+	"jacinthwind/core/job"
+)
+
+// loadRecords gives a kernel what earlier owners stored.
+func loadRecords(k *cell.Kernel, jobs, progress, waves map[string]core.Item) error {
+	for key, item := range jobs {
+		var j job.Job
+		if err := json.Unmarshal(item.Value, &j); err != nil {
+			return fmt.Errorf("%s: %w", key, err)
+		}
+		p := job.Progress{State: job.Pending}
+		if stored, ok := progress[prefixProgress+j.ID]; ok {
+			if err := json.Unmarshal(stored.Value, &p); err != nil {
+				return fmt.Errorf("%s: %w", stored.Key, err)
+			}
+		}
+		k.Load(&j, p)
+	}
+	for key, item := range waves {
+		number, err := strconv.Atoi(strings.TrimPrefix(key, prefixWave))
+		if err != nil {
+			return fmt.Errorf("%s: %w", key, err)
+		}
+		var p cell.WaveProgress
+		if err := json.Unmarshal(item.Value, &p); err != nil {
+			return fmt.Errorf("%s: %w", key, err)
+		}
+		k.LoadWave(number, p)
+	}
+	return nil
+}
