--- a/commands/edge.go
+++ b/commands/edge.go
@@ -17,7 +17,8 @@
 
 // Log buffering.
 const (
-	logBuffer = 256 << 10
+	// logBuffer is what a pipe takes in one piece, so that lines stay whole.
+	logBuffer = 4 << 10
 	logFlush  = 200 * time.Millisecond
 )
 
--- a/core/cell/executors.go
+++ b/core/cell/executors.go
@@ -205,7 +205,8 @@
 			Address: x.Address, Executor: x.ID, Token: k.Token,
 			Acknowledged: x.ackSeq, WaitMs: wait, DeadlineMs: k.deadline(x),
 		}
-		if order.DeadlineMs <= x.granted {
+		// A silent executor is not granted more, so that its runs lapse.
+		if x.misses > 0 || order.DeadlineMs <= x.granted {
 			order.DeadlineMs = x.granted
 		}
 		x.granted = order.DeadlineMs
@@ -285,8 +286,9 @@
 			r = k.adopt(x, a)
 		}
 		if r == nil {
-			k.emit(Stop{fleet.StopOrder{Address: x.Address, Executor: x.ID, Task: a.Task, Run: a.Run, Token: k.Token}})
-			k.log("run_not_wanted", "task", a.Task, "run", a.Run, "executor", x.ID)
+			r = k.endUnwanted(x, a)
+		}
+		if r == nil {
 			continue
 		}
 		if r.state == runStarting || r.state == runUnknown {
@@ -341,6 +343,27 @@
 	return r
 }
 
+// endUnwanted stops a run that should not be. Until its end it holds its room,
+// which nothing else may take.
+func (k *Kernel) endUnwanted(x *executor, a fleet.ActiveRun) *run {
+	k.log("run_not_wanted", "task", a.Task, "run", a.Run, "executor", x.ID)
+	id, err := job.ParseTaskID(a.Task)
+	j := k.jobs[id.Job]
+	if err != nil || j == nil || id.Step >= len(j.Steps) {
+		// The size is not known: the executor gets nothing until it is gone.
+		x.avoid = max(x.avoid, k.now.Mono+k.StopMax)
+		k.emit(Stop{fleet.StopOrder{Address: x.Address, Executor: x.ID, Task: a.Task, Run: a.Run, Token: k.Token}})
+		return nil
+	}
+	// A step of its own keeps the run's end from touching the job's tasks.
+	s := &stepRun{job: j, k: id.Occurrence, index: id.Step, Step: &j.Steps[id.Step], tasks: make([]task, id.Index+1)}
+	r := k.place(x, s, id.Index, a.Run)
+	s.tasks[id.Index].current = nil
+	r.state, r.settled = runActive, k.now.Mono
+	k.stopRun(r)
+	return r
+}
+
 // stepAt returns a step of an occurrence, or nil.
 func (j *jobState) stepAt(occurrence, step int) *stepRun {
 	i := occurrence*len(j.Steps) + step
--- a/core/cell/wave.go
+++ b/core/cell/wave.go
@@ -94,7 +94,8 @@
 // settleVMOrder ends an order whose VM is back.
 func (k *Kernel) settleVMOrder(vm fleet.VM) {
 	o, ok := k.ordered[vm.Name]
-	if !ok || !o.answered || vm.State != fleet.VMUp || vm.Executor == "" {
+	off := k.config.PoolIsSpare(vm.Pool)
+	if !ok || !o.answered || vm.State != fleet.VMUp || (vm.Executor == "" && !off) {
 		return
 	}
 	if vm.Executor == o.executor && k.now.Mono < o.sent+k.Upkeep {
--- a/edge/owner.go
+++ b/edge/owner.go
@@ -121,15 +121,16 @@
 // run claims the pools whenever nobody owns them, until ctx ends.
 func (o *owner) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if !o.free() {
+		if _, ok := o.free(); !ok {
 			pause(ctx, claimCheck)
 			continue
 		}
 		pause(ctx, rand.N(claimSpread))
-		if !o.free() {
+		revision, ok := o.free()
+		if !ok {
 			continue
 		}
-		if err := o.own(ctx); err != nil && ctx.Err() == nil {
+		if err := o.own(ctx, revision); err != nil && ctx.Err() == nil {
 			o.log.Warn("claim failed", zap.Error(err))
 			pause(ctx, claimCheck)
 		}
@@ -137,20 +138,21 @@
 }
 
 // free reports whether this node may claim: nobody owns the pools, or the owner
-// is an earlier incarnation of this node, which is gone.
-func (o *owner) free() bool {
+// is an earlier incarnation of this node, which is gone. It returns the revision
+// of the owner's record that was judged, zero where there is none.
+func (o *owner) free() (int64, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.stopping || !o.synced || o.operator == nil || o.operator.Configuration == nil {
-		return false
+		return 0, false
 	}
-	return o.seenItem.Revision == 0 || o.seen.Node == o.self.Node
+	return o.seenItem.Revision, o.seenItem.Revision == 0 || o.seen.Node == o.self.Node
 }
 
 // own claims the pools and serves them until the ownership is lost.
-func (o *owner) own(ctx context.Context) error {
+func (o *owner) own(ctx context.Context, expected int64) error {
 	began := mono()
-	claim, err := o.claim(ctx)
+	claim, err := o.claim(ctx, expected)
 	if err != nil {
 		return err
 	}
@@ -222,8 +224,9 @@
 	until    time.Duration
 }
 
-// claim writes this node into the owner's record if nobody else stands there.
-func (o *owner) claim(ctx context.Context) (claimed, error) {
+// claim writes this node into the owner's record if that still has the expected
+// revision.
+func (o *owner) claim(ctx context.Context, expected int64) (claimed, error) {
 	ctx, cancel := context.WithTimeout(ctx, claimWithin)
 	defer cancel()
 	sent := mono()
@@ -235,9 +238,6 @@
 	if err != nil {
 		return claimed{}, err
 	}
-	o.mu.Lock()
-	expected := o.seenItem.Revision
-	o.mu.Unlock()
 	next := sequenceRecord{Generation: sequence.Generation + 1}
 	record := o.self
 	record.Generation = next.Generation
