--- a/core/cell/event.go
+++ b/core/cell/event.go
@@ -117,6 +117,7 @@
 	Write struct {
 		Number int64
 		Puts   []Record
+		// Remove lists jobs whose records are no longer needed.
 		Remove []string
 	}
 	// Reply answers a waiting caller.
--- a/core/cell/executors.go
+++ b/core/cell/executors.go
@@ -142,6 +142,7 @@
 		return
 	}
 	delete(r.executor.runs, key)
+	r.executor.busyAt = k.now.Mono
 	r.executor.used = r.executor.used.Sub(r.reserved)
 	k.usage[r.step.job.Team] = k.usage[r.step.job.Team].Sub(r.charged)
 }
@@ -176,7 +177,7 @@
 func (k *Kernel) renew() {
 	for _, id := range slices.Sorted(maps.Keys(k.executors)) {
 		x := k.executors[id]
-		if x.renewing || (x.vm != "" && k.vmDown(x.vm)) {
+		if x.renewing || k.orderedAway(x) {
 			continue
 		}
 		var pause time.Duration
--- a/core/cell/kernel.go
+++ b/core/cell/kernel.go
@@ -1,6 +1,8 @@
 package cell
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"jacinthwind/core/fleet"
@@ -63,21 +65,25 @@
 	depth     map[string]int
 
 	// recovering holds back the tasks that an earlier owner may have started.
-	recovering  bool
-	claimedAt   time.Duration
-	listSeen    bool
-	uncertain   []*stepRun
-	unmatched   map[string][]fleet.ActiveRun
-	waves       map[int]*wave
-	vms         map[string]fleet.VM
-	vmsAt       time.Duration
-	vmsAsked    time.Duration
-	ordered     map[string]vmOrder
-	out         outbox
-	sweptAt     time.Duration
-	deposed     bool
-	effects     []Effect
-	paceCeiling map[string]int
+	recovering bool
+	claimedAt  time.Duration
+	listSeen   bool
+	uncertain  []*stepRun
+	unmatched  map[string][]fleet.ActiveRun
+	waves      map[int]*wave
+	vms        map[string]fleet.VM
+	vmsAt      time.Duration
+	vmsAsked   time.Duration
+	ordered    map[string]vmOrder
+	out        outbox
+	sweptAt    time.Duration
+	deposed    bool
+	effects    []Effect
+	lentAt     time.Duration
+	// lendable counts the VMs that are off and could be lent.
+	lendable int
+	// refusals holds when a refused job was first handed in.
+	refusals map[string]time.Duration
 }
 
 // New returns a kernel that owns its pools from now on under token.
@@ -90,7 +96,7 @@
 		evacuated: map[string]bool{}, depth: map[string]int{},
 		waves: map[int]*wave{}, vms: map[string]fleet.VM{},
 		ordered: map[string]vmOrder{},
-		config:  &fleet.Configuration{}, paceCeiling: map[string]int{},
+		config:  &fleet.Configuration{}, refusals: map[string]time.Duration{},
 		out: outbox{dirty: map[string]*jobState{}, records: map[string]Record{}},
 	}
 }
@@ -134,13 +140,23 @@
 	case Advised:
 		k.advised(e)
 	}
+	if _, tick := e.(Tick); tick {
+		k.decide()
+	}
+	return k.effects
+}
+
+// decide carries out what follows from the events since the last tick.
+func (k *Kernel) decide() {
 	k.checkExecutors()
 	k.recoverStep()
 	k.maintain()
 	k.schedule()
+	k.lend()
+	k.retryMoves()
 	k.flush()
 	k.renew()
-	return k.effects
+	k.sweep()
 }
 
 func (k *Kernel) emit(e Effect) { k.effects = append(k.effects, e) }
@@ -157,7 +173,7 @@
 func (k *Kernel) pool(name string) *pool {
 	p := k.pools[name]
 	if p == nil {
-		p = &pool{name: name}
+		p = &pool{name: name, jobs: map[string]*jobState{}}
 		k.pools[name] = p
 	}
 	return p
@@ -180,3 +196,32 @@
 		k.evacuated[dc] = true
 	}
 }
+
+// Clean-up constants.
+const (
+	sweepEvery = 5 * time.Second
+	// keepRefusal is for how long a refused caller may come back with the same id.
+	keepRefusal = 15 * time.Second
+)
+
+// sweep forgets refusals, and jobs that ended long ago.
+func (k *Kernel) sweep() {
+	if k.now.Mono < k.sweptAt+sweepEvery {
+		return
+	}
+	k.sweptAt = k.now.Mono
+	for id, at := range k.refusals {
+		if k.now.Mono > at+keepRefusal {
+			delete(k.refusals, id)
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(k.jobs)) {
+		j := k.jobs[id]
+		ago := time.Duration(k.now.UnixMs-j.endedMs) * time.Millisecond
+		if !j.visible.Ended() || j.dirty || ago < 2*k.KeepEnded {
+			continue
+		}
+		delete(k.jobs, id)
+		k.out.remove = append(k.out.remove, id)
+	}
+}
--- /dev/null
+++ b/core/cell/lend.go
@@ -0,0 +1,176 @@
+package cell
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"jacinthwind/core/fleet"
+	"jacinthwind/core/lending"
+)
+
+// Lending constants.
+const (
+	// lendEvery is the time between two plans.
+	lendEvery = 100 * time.Millisecond
+	// lendAhead is how much longer than its move a VM takes to serve: its new
+	// executor has to be seen and fenced.
+	lendAhead = 400 * time.Millisecond
+	// waitingShare is the part of the waiting work that needs processors at
+	// once; the rest is done after what runs.
+	waitingShare = 0.7
+	// minVMs keeps a pool alive through the loss of a VM.
+	minVMs         = 2
+	maxMovesAtOnce = 24
+)
+
+// lend moves idle VMs to the pools that need them.
+func (k *Kernel) lend() {
+	if k.now.Mono < k.lentAt+lendEvery || k.vmsAt == 0 || k.recovering ||
+		k.now.Mono < k.claimedAt+k.OrderLease || k.now.Mono > k.until {
+		return
+	}
+	k.lentAt = k.now.Mono
+	pools, cores := k.lendingPools()
+	k.lendable = 0
+	for i := range pools {
+		if pools[i].Spare {
+			k.lendable += len(pools[i].Idle)
+		}
+	}
+	for _, m := range lending.Plan(pools, cores) {
+		if len(k.ordered) >= maxMovesAtOnce {
+			return
+		}
+		if k.config.PoolIsSpare(k.vms[m.VM].Pool) {
+			k.lendable--
+		}
+		k.orderMove(m.VM, m.Pool)
+	}
+}
+
+// lendingPools describes the pools, and returns the processors of a usual VM.
+func (k *Kernel) lendingPools() ([]lending.Pool, float64) {
+	byName := map[string]*lending.Pool{}
+	var order []string
+	for _, p := range k.config.Pools {
+		byName[p.Name] = &lending.Pool{Name: p.Name, Spare: p.Spare}
+		order = append(order, p.Name)
+	}
+	var cores float64
+	for _, name := range slices.Sorted(maps.Keys(k.vms)) {
+		vm := k.vms[name]
+		cores = max(cores, float64(vm.Room.CPU)/1000)
+		home := vm.Pool
+		o, moving := k.ordered[name]
+		if moving && o.pool != "" {
+			home = o.pool
+		}
+		p := byName[home]
+		if p == nil || k.evacuated[vm.DataCentre] {
+			continue
+		}
+		x := k.executors[vm.Executor]
+		idle, able := k.idleFor(vm, x)
+		if moving || able {
+			p.VMs++
+		}
+		if !moving && idle > 0 && vm.State == fleet.VMUp && !k.inOpenWave(name) {
+			p.Idle = append(p.Idle, lending.VM{Name: name, Idle: idle})
+		}
+	}
+	for _, name := range order {
+		if p := byName[name]; !p.Spare {
+			p.Cores = k.coresNeeded(name)
+			p.Floor = minVMs
+		}
+	}
+	var pools []lending.Pool
+	slices.Sort(order)
+	for _, name := range order {
+		pools = append(pools, *byName[name])
+	}
+	return pools, cores
+}
+
+// idleFor returns for how long a VM has had no work, zero where it has some,
+// and whether it can serve.
+func (k *Kernel) idleFor(vm fleet.VM, x *executor) (time.Duration, bool) {
+	if k.config.PoolIsSpare(vm.Pool) {
+		return time.Nanosecond, vm.State == fleet.VMUp
+	}
+	if x == nil || !x.listed || !x.fenced || x.Draining || x.misses > 0 || x.cordoned {
+		return 0, false
+	}
+	if len(x.runs) > 0 || x.Pool != vm.Pool {
+		return 0, true
+	}
+	return max(k.now.Mono-x.busyAt, time.Nanosecond), true
+}
+
+// inOpenWave reports whether a VM waits for its maintenance.
+func (k *Kernel) inOpenWave(name string) bool {
+	for _, w := range k.waves {
+		if w.status != waveSucceeded && !w.done[name] && slices.Contains(w.VMs, name) {
+			return true
+		}
+	}
+	return false
+}
+
+// coresNeeded returns the processors that a pool needs now or when a VM that is
+// ordered now could serve.
+func (k *Kernel) coresNeeded(name string) float64 {
+	p := k.pool(name)
+	var service, running, waiting int64
+	for _, x := range k.executors {
+		if x.Pool != name {
+			continue
+		}
+		for _, r := range x.runs {
+			if r.step.Service {
+				service += r.reserved.CPU
+			} else {
+				running += r.reserved.CPU
+			}
+		}
+	}
+	for _, s := range p.ready {
+		if s.job.state.Ended() {
+			continue
+		}
+		if s.Service {
+			service += int64(s.waiting) * s.Reserved().CPU
+		} else {
+			waiting += int64(s.waiting) * s.Size.CPU
+		}
+	}
+	present := float64(running)/1000 + waitingShare*float64(waiting)/1000
+	return float64(service)/1000 + max(present, p.demand.Rate(k.now.Mono))
+}
+
+// orderMove sends a VM to another pool.
+func (k *Kernel) orderMove(vm, pool string) {
+	from := k.vms[vm]
+	x := k.executors[from.Executor]
+	if x != nil {
+		x.cordoned = true
+	}
+	k.ordered[vm] = vmOrder{pool: pool, sent: k.now.Mono, executor: from.Executor}
+	k.log("move_ordered", "vm", vm, "from", from.Pool, "to", pool)
+	k.emit(MoveVM{VM: vm, Pool: pool, Token: k.Token})
+}
+
+// retryMoves repeats moves that got no answer; a move that is done is answered
+// as such.
+func (k *Kernel) retryMoves() {
+	for _, name := range slices.Sorted(maps.Keys(k.ordered)) {
+		o := k.ordered[name]
+		if o.pool == "" || o.answered || k.now.Mono < o.sent+vmOrderRetry || k.now.Mono > k.until {
+			continue
+		}
+		o.sent = k.now.Mono
+		k.ordered[name] = o
+		k.emit(MoveVM{VM: name, Pool: o.pool, Token: k.Token})
+	}
+}
--- a/core/cell/recover.go
+++ b/core/cell/recover.go
@@ -27,9 +27,7 @@
 			t.state = taskDone
 			s.waiting--
 			s.done++
-			if !s.Fills {
-				k.pool(j.Pool).backlog -= s.Size.CPU * s.EstimateMs
-			}
+			j.worked(s)
 		}
 	}
 	if p.State == job.Running || len(p.Tasks) > 0 {
--- a/core/cell/runs.go
+++ b/core/cell/runs.go
@@ -197,9 +197,7 @@
 	t.state, t.uncertain = taskDone, false
 	s.done++
 	j := s.job
-	if !s.Fills {
-		k.pool(j.Pool).backlog -= s.Size.CPU * s.EstimateMs
-	}
+	j.worked(s)
 	if s.Gang {
 		k.gangDone(s)
 	}
@@ -210,11 +208,19 @@
 	if j.open == 0 {
 		k.log("job_succeeded", "job", j.ID, "took_ms", (k.now.Mono - j.arrived).Milliseconds(), "objective_ms", (j.due - j.arrived).Milliseconds())
 		j.state, j.endedMs = job.Succeeded, k.now.UnixMs
+		delete(k.pool(j.Pool).jobs, j.ID)
 		return
 	}
 	k.unblock(s)
 }
 
+// worked takes a task that is done from the work that is left.
+func (j *jobState) worked(s *stepRun) {
+	if !s.Fills && !s.Service {
+		j.left = max(j.left-s.Size.CPU*s.EstimateMs, 0)
+	}
+}
+
 // unblock activates the steps that waited for s alone.
 func (k *Kernel) unblock(s *stepRun) {
 	j := s.job
@@ -249,7 +255,7 @@
 		}
 		t.state, t.ended = taskDone, true
 		s.done++
-		k.pool(s.job.Pool).backlog -= s.Size.CPU * s.EstimateMs
+		s.job.worked(s)
 	}
 }
 
--- a/core/cell/state.go
+++ b/core/cell/state.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"jacinthwind/core/demand"
 	"jacinthwind/core/fleet"
 	"jacinthwind/core/job"
 )
@@ -23,9 +24,12 @@
 	// arrived is when the objective began to count.
 	arrived time.Duration
 	// due is when the latency objective passes.
-	due     time.Duration
-	steps   []*stepRun
-	open    int
+	due   time.Duration
+	steps []*stepRun
+	open  int
+	// left is the estimated work that is not done, in thousandths of a core
+	// times ms.
+	left    int64
 	queue   *fleet.Queue
 	dirty   bool
 	cancels []CallID
@@ -152,15 +156,16 @@
 	avoid     time.Duration
 	vm        string
 	cordoned  bool
+	// busyAt is when the executor last had a run.
+	busyAt time.Duration
 }
 
 // pool is a pool with the steps that wait for it.
 type pool struct {
 	name  string
 	ready []*stepRun
-	// backlog is the estimated work that is accepted and not done, in
-	// thousandths of a core times ms.
-	backlog int64
-	// speed corrects the callers' estimates by what runs really took.
-	refused int
+	// demand measures what is asked of the pool, taken or not.
+	demand demand.Tracker
+	// jobs are those that have work left, for the admission.
+	jobs map[string]*jobState
 }
--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -33,65 +33,124 @@
 	}
 	e.Job.Pool = queue.Pool
 	e.Job.AcceptedMs = k.now.UnixMs
-	if a := k.admit(e.Job, queue); a.Verdict != Accepted {
-		k.pool(queue.Pool).refused++
+	first, again := k.refusals[e.Job.ID]
+	if !again {
+		first = k.now.Mono
+		k.pool(queue.Pool).demand.Add(first, float64(e.Job.Work())/coreSecond)
+	}
+	// The objective counts from the caller's first try.
+	e.Job.AcceptedMs -= (k.now.Mono - first).Milliseconds()
+	if a := k.admit(e.Job, queue, first); a.Verdict != Accepted {
+		k.refusals[e.Job.ID] = first
 		k.log("job_refused", "job", e.Job.ID, "queue", queue.Name, "team", e.Job.Team, "reason", a.Reason, "retry_after_ms", a.RetryAfter.Milliseconds())
 		k.emit(Reply{e.Call, a})
 		return
 	}
+	delete(k.refusals, e.Job.ID)
 	j := k.addJob(e.Job, job.Progress{State: job.Pending})
 	j.calls = append(j.calls, e.Call)
 	k.touch(j)
 }
 
-// admit decides whether a job can be done in time.
-func (k *Kernel) admit(j *job.Job, queue *fleet.Queue) Answer {
-	largest, capacity := k.capacity(queue.Pool)
+// admit decides whether a job that was first handed in at a time can be done
+// within its latency objective.
+func (k *Kernel) admit(j *job.Job, queue *fleet.Queue, first time.Duration) Answer {
+	c := k.capacity(queue.Pool)
 	for i := range j.Steps {
-		if r := j.Steps[i].Reserved(); !r.FitsIn(largest) && largest != (fleet.Vector{}) {
+		if r := j.Steps[i].Reserved(); !r.FitsIn(c.largest) && c.largest != (fleet.Vector{}) {
 			return Answer{Verdict: Unservable, Reason: "a task is larger than every executor"}
 		}
 	}
 	if j.Lasting() || j.Times > 0 {
 		return Answer{Verdict: Accepted}
 	}
-	if capacity.CPU <= 0 {
+	if c.now+c.later <= 0 {
 		return Answer{Verdict: Refused, RetryAfter: maxRetryAfter, Reason: "no executor to serve the queue"}
 	}
-	p := k.pool(queue.Pool)
-	wait := time.Duration(p.backlog/capacity.CPU) * time.Millisecond
 	chain := j.Chain()
-	objective := objectiveOf(queue, chain)
-	if wait+chain <= objective {
+	due := first + objectiveOf(queue, chain)
+	wait := c.wait(k.ahead(queue, due), k.Move+lendAhead)
+	late := k.now.Mono + wait + chain - due
+	if late <= 0 {
 		return Answer{Verdict: Accepted}
 	}
-	retry := min(max(wait+chain-objective, minRetryAfter), maxRetryAfter)
-	return Answer{Verdict: Refused, RetryAfter: retry, Reason: "the backlog exceeds the latency objective"}
+	return Answer{Verdict: Refused, RetryAfter: min(max(late, minRetryAfter), maxRetryAfter), Reason: "the backlog exceeds the latency objective"}
 }
 
-func objectiveOf(queue *fleet.Queue, chain time.Duration) time.Duration {
-	if queue == nil {
-		return chain + defaultSlack
+// ahead returns the work in core-seconds that goes before a job that is due at a
+// time.
+func (k *Kernel) ahead(queue *fleet.Queue, due time.Duration) float64 {
+	var left int64
+	for _, j := range k.pool(queue.Pool).jobs {
+		if j.queue == nil || j.queue.Priority < queue.Priority || (j.queue.Priority == queue.Priority && j.due <= due) {
+			left += j.left
+		}
 	}
-	return time.Duration(queue.Stretch*float64(chain)) + queue.Objective
+	return float64(left) / coreSecond
+}
+
+// coreSecond is a core-second in thousandths of a core times ms.
+const coreSecond = 1e6
+
+// capacity is what a pool can give to work that ends, in cores.
+type capacity struct {
+	largest fleet.Vector
+	// now is what its executors give, and later what is on its way or can be
+	// lent beside.
+	now, later float64
+}
+
+// fillable is the part of the processors that tasks of mixed sizes can fill.
+const fillable = 0.9
+
+// wait returns how long work takes that goes before, when VMs that are lent
+// serve after lead.
+func (c *capacity) wait(work float64, lead time.Duration) time.Duration {
+	work -= c.now * overlap
+	if work <= 0 {
+		return 0
+	}
+	if soon := c.now * fillable * lead.Seconds(); work > soon {
+		return lead + time.Duration((work-soon)/((c.now+c.later)*fillable)*float64(time.Second))
+	}
+	return time.Duration(work / (c.now * fillable) * float64(time.Second))
 }
 
-// capacity returns the largest room in the fleet and what the pool's usable
-// executors can give to work that ends.
-func (k *Kernel) capacity(pool string) (largest, sum fleet.Vector) {
+// overlap is the work in core-seconds for each core that is under way and does
+// not keep a new task waiting: half of a usual run.
+const overlap = 0.3
+
+// capacity returns what a pool can give.
+func (k *Kernel) capacity(pool string) capacity {
+	var c capacity
 	for _, x := range k.executors {
-		largest = fleet.Vector{CPU: max(largest.CPU, x.Room.CPU), Mem: max(largest.Mem, x.Room.Mem), GPU: max(largest.GPU, x.Room.GPU)}
+		c.largest = fleet.Vector{CPU: max(c.largest.CPU, x.Room.CPU), Mem: max(c.largest.Mem, x.Room.Mem), GPU: max(c.largest.GPU, x.Room.GPU)}
 		if x.Pool != pool || !k.usable(x) {
 			continue
 		}
-		sum = sum.Add(x.Room)
+		cores := x.Room.CPU
 		for _, r := range x.runs {
 			if r.step.Service {
-				sum = sum.Sub(r.reserved)
+				cores -= r.reserved.CPU
 			}
 		}
+		c.now += float64(cores) / 1000
+	}
+	vm := float64(c.largest.CPU) / 1000
+	for _, o := range k.ordered {
+		if o.pool == pool {
+			c.later += vm
+		}
 	}
-	return largest, sum
+	c.later += float64(k.lendable) * vm
+	return c
+}
+
+func objectiveOf(queue *fleet.Queue, chain time.Duration) time.Duration {
+	if queue == nil {
+		return chain + defaultSlack
+	}
+	return time.Duration(queue.Stretch*float64(chain)) + queue.Objective
 }
 
 // addJob makes the state of a job that is new or was stored.
@@ -126,7 +185,10 @@
 	if spec.Times == 0 {
 		k.depth[spec.Queue]++
 	}
-	k.pool(spec.Pool).backlog += spec.Work()
+	j.left = spec.Work()
+	if j.left > 0 {
+		k.pool(spec.Pool).jobs[spec.ID] = j
+	}
 	return j
 }
 
@@ -185,21 +247,14 @@
 // endJob makes a state final and stops what still runs.
 func (k *Kernel) endJob(j *jobState, state job.State) {
 	k.markStarted(j)
-	p := k.pool(j.Pool)
+	delete(k.pool(j.Pool).jobs, j.ID)
 	for _, s := range j.steps {
-		if !s.Service && !s.Fills {
-			p.backlog -= int64(s.Count-s.done) * s.Size.CPU * s.EstimateMs
-		}
 		for i := range s.tasks {
 			if r := s.tasks[i].current; r != nil {
 				k.stopRun(r)
 			}
 		}
 	}
-	if j.Times > 0 {
-		// The work of one occurrence was counted.
-		p.backlog = max(p.backlog, 0)
-	}
 	j.state = state
 	j.endedMs = k.now.UnixMs
 	k.touch(j)
--- a/core/cell/wave.go
+++ b/core/cell/wave.go
@@ -98,16 +98,19 @@
 	if !ok || !o.answered || vm.State != fleet.VMUp || (vm.Executor == "" && !off) {
 		return
 	}
-	if vm.Executor == o.executor && k.now.Mono < o.sent+k.Upkeep {
+	if o.pool != "" && vm.Pool != o.pool {
+		return
+	}
+	if o.pool == "" && vm.Executor == o.executor && k.now.Mono < o.sent+k.Upkeep {
 		return
 	}
 	delete(k.ordered, vm.Name)
 }
 
-// vmDown reports whether a VM is down by an order.
-func (k *Kernel) vmDown(vm string) bool {
-	o, ok := k.ordered[vm]
-	return ok && o.answered
+// orderedAway reports whether an executor has ended by an order for its VM.
+func (k *Kernel) orderedAway(x *executor) bool {
+	o, ok := k.ordered[x.vm]
+	return ok && o.answered && o.executor == x.ID
 }
 
 // maintain drives all waves.
@@ -133,10 +136,10 @@
 // driveWave empties the next VMs of a wave and orders their maintenance.
 func (k *Kernel) driveWave(w *wave) {
 	k.reportWave(w, waveRunning)
-	down := 0
+	down, moving := 0, 0
 	var open []string
 	for _, name := range w.VMs {
-		if o, ok := k.ordered[name]; ok {
+		if o, ok := k.ordered[name]; ok && o.pool == "" {
 			down++
 			if !o.answered && k.now.Mono > o.sent+vmOrderRetry {
 				k.orderUpkeep(w, name)
@@ -150,11 +153,13 @@
 			k.finishVM(w, name)
 		case vm.State == fleet.VMUpkeep:
 			down++
+		case k.ordered[name].pool != "":
+			moving++
 		default:
 			open = append(open, name)
 		}
 	}
-	if len(open) == 0 && down == 0 {
+	if len(open) == 0 && down == 0 && moving == 0 {
 		k.reportWave(w, waveSucceeded)
 		k.log("wave_succeeded", "wave", w.Number, "took_ms", (k.now.Mono - w.asked).Milliseconds())
 		return
@@ -278,13 +283,14 @@
 	}
 	k.log("vm_order_answered", "vm", e.VM, "outcome", e.Outcome)
 	w := k.waves[o.wave]
+	x := k.executors[o.executor]
 	switch e.Outcome {
 	case fleet.VMOrderDone:
 		o.answered = true
 		k.ordered[e.VM] = o
-		if x := k.executors[o.executor]; x != nil {
+		if x != nil {
 			for _, r := range sortedRuns(x) {
-				k.dropRun(r, "the VM is down for maintenance")
+				k.dropRun(r, "its VM was ordered away")
 			}
 			x.listed = false
 		}
@@ -292,13 +298,21 @@
 			k.finishVM(w, e.VM)
 		}
 	case fleet.VMOrderNotOfWave, fleet.VMOrderInvalid:
-		delete(k.ordered, e.VM)
+		k.endVMOrder(e.VM, x)
 		if w != nil {
 			k.finishVM(w, e.VM)
 		}
 	case fleet.VMOrderBusy, fleet.VMOrderRefused:
-		delete(k.ordered, e.VM)
+		k.endVMOrder(e.VM, x)
 	case fleet.VMOrderFenced:
 		k.depose("an order for VM " + e.VM + " was fenced")
 	}
 }
+
+// endVMOrder forgets an order that did nothing.
+func (k *Kernel) endVMOrder(vm string, x *executor) {
+	delete(k.ordered, vm)
+	if x != nil {
+		x.cordoned = false
+	}
+}
--- a/edge/writer.go
+++ b/edge/writer.go
@@ -41,7 +41,10 @@
 	for _, r := range e.Puts {
 		puts = append(puts, put(w.codec, r))
 	}
-	remove := e.Remove
+	var remove []string
+	for _, id := range e.Remove {
+		remove = append(remove, prefixJob+id, prefixProgress+id)
+	}
 	for len(puts) > 0 || len(remove) > 0 {
 		n := chunk(puts)
 		m := min(len(remove), maxPuts-n)
