--- a/core/cell/executors.go
+++ b/core/cell/executors.go
@@ -111,6 +111,7 @@
 func (k *Kernel) checkExecutors() {
 	for _, id := range slices.Sorted(maps.Keys(k.executors)) {
 		x := k.executors[id]
+		k.retryStops(x)
 		silent := x.misses > 0 || !x.listed
 		if !silent || !k.lapsed(x) {
 			continue
@@ -125,6 +126,18 @@
 	}
 }
 
+// retryStops repeats the stops that got no answer.
+func (k *Kernel) retryStops(x *executor) {
+	if x.misses > 0 {
+		return
+	}
+	for _, r := range x.runs {
+		if r.state == runStopping && !r.stopped {
+			k.stopRun(r)
+		}
+	}
+}
+
 // dropRun gives up on a run that cannot be at work any more.
 func (k *Kernel) dropRun(r *run, reason string) {
 	k.log("run_lost", "task", r.name, "run", r.number, "executor", r.executor.ID, "reason", reason)
--- /dev/null
+++ b/core/cell/kernel_test.go
@@ -0,0 +1,184 @@
+package cell_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"jacinthwind/core/cell"
+	"jacinthwind/core/fleet"
+	"jacinthwind/core/job"
+)
+
+func TestJobRunsStepByStep(t *testing.T) {
+	w := newWorld(t, 2)
+	w.play(time.Second)
+	j := simpleJob(1, 4, 2000)
+	j.Steps = append(j.Steps, job.Step{Count: 2, Size: fleet.Vector{CPU: 1000}, EstimateMs: 500, After: []int{0}})
+	call := w.submit(j)
+	w.play(300 * time.Millisecond)
+	require.Equal(t, cell.Accepted, w.verdicts[call].Verdict)
+	require.Equal(t, job.Running, w.state(j.ID))
+	require.Zero(t, w.starts[j.ID+".0.1.0"], "the second step started before the first was done")
+	w.play(1500 * time.Millisecond)
+	require.Equal(t, job.Succeeded, w.state(j.ID))
+	require.Len(t, w.starts, 6)
+}
+
+// TestEndAfterFailureSurvivesTakeover replays scale-2 with seed 572377398055 of
+// sellocant-jw: the stored progress named the run that was under way as ended,
+// so that the next owner took its end for a known one and started it again.
+func TestEndAfterFailureSurvivesTakeover(t *testing.T) {
+	w := newWorld(t, 2)
+	w.taskTime = func(task string, run int) (time.Duration, fleet.RunEnd) {
+		switch {
+		case strings.HasSuffix(task, ".0") && run == 1:
+			return 100 * time.Millisecond, fleet.EndFailed
+		case strings.HasSuffix(task, ".0"):
+			return time.Second, fleet.EndDone
+		}
+		return 600 * time.Millisecond, fleet.EndDone
+	}
+	w.play(time.Second)
+	j := simpleJob(1, 2, 2000)
+	w.submit(j)
+	w.play(900 * time.Millisecond)
+	require.Equal(t, 2, w.starts[j.ID+".0.0.0"])
+	// The owner dies; the second run ends before the next owner looks.
+	w.later = nil
+	w.now += 1500 * time.Millisecond
+	for _, x := range w.executors {
+		w.endRuns(x)
+	}
+	w.claim()
+	w.play(3 * time.Second)
+	require.Equal(t, 2, w.starts[j.ID+".0.0.0"])
+	require.Equal(t, job.Succeeded, w.state(j.ID))
+}
+
+// TestUnansweredStopIsRepeated replays the mix with seed 528015371486 of
+// sellocant-jw: a start and the stop that settles it both got no answer, and
+// the task waited for ever.
+func TestUnansweredStopIsRepeated(t *testing.T) {
+	w := newWorld(t, 2)
+	w.play(time.Second)
+	lost := map[string]int{}
+	w.orders = func(kind, _ string) (time.Duration, bool) {
+		lost[kind]++
+		if kind != "renew" && lost[kind] == 1 {
+			return 4 * time.Second, false
+		}
+		return time.Millisecond, true
+	}
+	j := simpleJob(1, 1, 2000)
+	w.submit(j)
+	w.play(4 * time.Second)
+	require.Equal(t, job.Succeeded, w.state(j.ID))
+	w.play(5 * time.Second)
+	require.Equal(t, 1, w.starts[j.ID+".0.0.0"], "the late start was carried out")
+}
+
+// TestSilentExecutorLapses replays scale-1 of sellocant-jw: each retry granted a
+// dark executor a later deadline, so that its service tasks were never given up.
+func TestSilentExecutorLapses(t *testing.T) {
+	w := newWorld(t, 2)
+	w.play(time.Second)
+	j := simpleJob(1, 1, 2000)
+	j.Steps[0].Service = true
+	w.submit(j)
+	w.play(time.Second)
+	for _, x := range w.executors {
+		x.dark = len(x.runs) > 0
+	}
+	w.play(7 * time.Second)
+	require.Equal(t, 2, w.starts[j.ID+".0.0.0"])
+}
+
+// TestUnwantedRunHoldsItsRoom replays scale-1 of zkw-tarcza: a new owner stops
+// the run of a job that had ended, and filled its room before it was free.
+func TestUnwantedRunHoldsItsRoom(t *testing.T) {
+	w := newWorld(t, 1)
+	w.play(time.Second)
+	j := simpleJob(1, 1, 8000)
+	j.Steps[0].Service = true
+	w.submit(j)
+	w.play(time.Second)
+	// The cancel is stored, but its owner dies before the stop arrives.
+	w.stored[j.ID] = job.Progress{State: job.Cancelled, EndedMs: w.now.Milliseconds()}
+	w.claim()
+	next := simpleJob(2, 1, 8000)
+	next.Steps[0].Service = true
+	w.play(50 * time.Millisecond)
+	w.submit(next)
+	w.play(4 * time.Second)
+	require.Equal(t, 1, w.starts[next.ID+".0.0.0"])
+}
+
+func TestCancelStopsWhatRuns(t *testing.T) {
+	w := newWorld(t, 2)
+	w.play(time.Second)
+	j := simpleJob(1, 3, 1000)
+	j.Steps[0].Service = true
+	w.submit(j)
+	w.play(time.Second)
+	call := w.cancel(j.ID)
+	require.NotContains(t, w.verdicts, call, "a cancel is answered before it is stored")
+	w.play(2 * time.Second)
+	require.Equal(t, cell.Ended, w.verdicts[call].Verdict)
+	require.Equal(t, job.Cancelled, w.state(j.ID))
+	for _, x := range w.executors {
+		require.Empty(t, x.runs)
+	}
+}
+
+func TestFailedAttemptsEndTheJob(t *testing.T) {
+	w := newWorld(t, 3)
+	w.taskTime = func(string, int) (time.Duration, fleet.RunEnd) { return 50 * time.Millisecond, fleet.EndFailed }
+	w.play(time.Second)
+	j := simpleJob(1, 1, 1000)
+	w.submit(j)
+	w.play(6 * time.Second)
+	require.Equal(t, job.Failed, w.state(j.ID))
+	require.Equal(t, 2, w.starts[j.ID+".0.0.0"])
+}
+
+func TestTeamLimit(t *testing.T) {
+	w := newWorld(t, 4)
+	w.config.Teams[0].Limit = fleet.Vector{CPU: 5000}
+	w.play(time.Second)
+	j := simpleJob(1, 10, 2000)
+	w.submit(j)
+	for range 60 {
+		w.play(50 * time.Millisecond)
+		running := 0
+		for _, x := range w.executors {
+			running += len(x.runs)
+		}
+		require.LessOrEqual(t, running, 2)
+	}
+	w.play(2 * time.Second)
+	require.Equal(t, job.Succeeded, w.state(j.ID))
+}
+
+func TestNothingIsAcceptedWithoutTheStore(t *testing.T) {
+	w := newWorld(t, 2)
+	w.play(time.Second)
+	w.storeDown = true
+	call := w.submit(simpleJob(1, 1, 1000))
+	w.play(time.Second)
+	require.NotContains(t, w.verdicts, call)
+	require.Empty(t, w.starts)
+}
+
+func TestOwnerStopsAtAHigherToken(t *testing.T) {
+	w := newWorld(t, 2)
+	w.play(time.Second)
+	old := w.kernel
+	w.claim()
+	w.play(100 * time.Millisecond)
+	w.kernel, old = old, w.kernel
+	w.play(2 * time.Second)
+	require.Empty(t, w.kernel.Step(w.clock(), cell.Tick{}), "the stale owner still acts")
+}
--- a/core/cell/persist.go
+++ b/core/cell/persist.go
@@ -131,7 +131,7 @@
 			}
 			p.Tasks = append(p.Tasks, job.TaskProgress{
 				Occurrence: s.k, Step: s.index, Index: i,
-				Done: t.state == taskDone, Failures: t.failures, Run: t.run, Saved: t.saved,
+				Done: t.state == taskDone, Failures: t.failures, Run: t.endedRun, Saved: t.saved,
 			})
 		}
 	}
--- a/core/cell/recover.go
+++ b/core/cell/recover.go
@@ -22,7 +22,8 @@
 			continue
 		}
 		t := &s.tasks[tp.Index]
-		t.ended, t.failures, t.run, t.saved = true, tp.Failures, tp.Run, tp.Saved
+		t.ended, t.failures, t.saved = true, tp.Failures, tp.Saved
+		t.run, t.endedRun = tp.Run, tp.Run
 		if tp.Done && t.state != taskDone {
 			t.state = taskDone
 			s.waiting--
--- a/core/cell/runs.go
+++ b/core/cell/runs.go
@@ -153,10 +153,10 @@
 		return
 	}
 	t := &s.tasks[id.Index]
-	if !t.uncertain || t.state != taskWaiting || e.Run <= t.run {
+	// An end that is known is listed again until it is acknowledged.
+	if !t.uncertain || t.state != taskWaiting || e.Run <= t.endedRun {
 		return
 	}
-	t.run = e.Run
 	t.state = taskPlaced
 	s.waiting--
 	k.markStarted(j)
@@ -168,7 +168,7 @@
 func (k *Kernel) settleEnd(s *stepRun, index int, x *executor, e fleet.EndedRun) {
 	t := &s.tasks[index]
 	t.ended = true
-	t.run = max(t.run, e.Run)
+	t.run, t.endedRun = max(t.run, e.Run), max(t.endedRun, e.Run)
 	if e.Checkpoint != "" {
 		t.saved = e.Checkpoint
 	}
--- a/core/cell/state.go
+++ b/core/cell/state.go
@@ -72,8 +72,11 @@
 
 // task is one task of a step.
 type task struct {
-	state    taskState
+	state taskState
+	// run is the highest run that was started or has ended, and endedRun the
+	// highest that has ended.
 	run      int
+	endedRun int
 	failures int
 	saved    string
 	ended    bool
--- /dev/null
+++ b/core/cell/world_test.go
@@ -0,0 +1,419 @@
+package cell_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"jacinthwind/core/cell"
+	"jacinthwind/core/fleet"
+	"jacinthwind/core/job"
+)
+
+// Times of the worlds that tests play.
+const (
+	testHoldMax = 6 * time.Second
+	testStop    = 900 * time.Millisecond
+	testStep    = 10 * time.Millisecond
+)
+
+// fakeRun is a run on a fake executor.
+type fakeRun struct {
+	task    string
+	run     int
+	size    fleet.Vector
+	ends    time.Duration
+	how     fleet.RunEnd
+	service bool
+}
+
+// fakeExecutor behaves as the platform's executors do: it keeps the highest
+// token, ends its runs at their deadline, and lists ends until acknowledged.
+type fakeExecutor struct {
+	fleet.Executor
+	token    int64
+	deadline int64
+	runs     map[string]*fakeRun
+	// ended and stopped hold the highest run of a task that ended or was stopped.
+	dead   map[string]int
+	ended  []fleet.EndedRun
+	number int64
+	ack    int64
+	// dark executors answer nothing.
+	dark bool
+	down bool
+}
+
+// world plays a kernel against fake executors and a store, in virtual time, and
+// checks what executors see.
+type world struct {
+	t         *testing.T
+	now       time.Duration
+	kernel    *cell.Kernel
+	token     int64
+	owners    int
+	executors map[string]*fakeExecutor
+	specs     map[string]*job.Job
+	stored    map[string]job.Progress
+	accepted  map[string]bool
+	verdicts  map[cell.CallID]cell.Answer
+	calls     cell.CallID
+	config    *fleet.Configuration
+	vms       []fleet.VM
+	// storeDown holds writes back.
+	storeDown bool
+	held      []cell.Write
+	// taskTime is how long a task runs, and outcome how it ends.
+	taskTime func(task string, run int) (time.Duration, fleet.RunEnd)
+	// orders decides what becomes of an order: it arrives after a delay, and its
+	// answer arrives or not.
+	orders func(kind, task string) (delay time.Duration, answered bool)
+	later  []delayed
+	// acknowledged holds the tasks whose done end was acknowledged.
+	acknowledged map[string]bool
+	starts       map[string]int
+	log          []string
+}
+
+// delayed is something that happens later.
+type delayed struct {
+	at time.Duration
+	do func()
+}
+
+func newWorld(t *testing.T, executors int) *world {
+	w := &world{
+		t: t, now: time.Hour, executors: map[string]*fakeExecutor{}, specs: map[string]*job.Job{},
+		stored: map[string]job.Progress{}, accepted: map[string]bool{}, verdicts: map[cell.CallID]cell.Answer{},
+		acknowledged: map[string]bool{}, starts: map[string]int{},
+		taskTime: func(string, int) (time.Duration, fleet.RunEnd) { return 500 * time.Millisecond, fleet.EndDone },
+		orders:   func(string, string) (time.Duration, bool) { return time.Millisecond, true },
+	}
+	w.config = &fleet.Configuration{
+		Version: 1,
+		Queues:  []fleet.Queue{{Name: "proofs", Host: "h", Prefix: "/p/", Pool: "render", Attempts: 2, Stretch: 2, Objective: 2 * time.Second}},
+		Pools:   []fleet.Pool{{Name: "render"}, {Name: "spare", Spare: true}},
+		Teams:   []fleet.Team{{Name: "notaries", Keys: []string{"k"}, Weight: 1}},
+	}
+	w.config.Index()
+	for i := range executors {
+		w.addExecutor(fmt.Sprintf("e%d", i))
+	}
+	w.claim()
+	return w
+}
+
+func (w *world) addExecutor(id string) {
+	w.executors[id] = &fakeExecutor{
+		Executor: fleet.Executor{ID: id, Pool: "render", Address: id, DataCentre: "dc1", Room: fleet.Vector{CPU: 8000, Mem: 8000}, Labels: []string{"a", "r1-1"}},
+		runs:     map[string]*fakeRun{}, dead: map[string]int{},
+	}
+	w.vms = append(w.vms, fleet.VM{Name: "vm-" + id, Pool: "render", State: fleet.VMUp, DataCentre: "dc1", Room: fleet.Vector{CPU: 8000, Mem: 8000}, Executor: id})
+}
+
+// claim starts a new owner from what is stored; an earlier one is gone, but for
+// its orders that are still on their way.
+func (w *world) claim() {
+	w.token += 10
+	w.held = nil
+	w.kernel = cell.New(cell.Settings{HoldMax: testHoldMax, StopMax: testStop, OrderLease: time.Second, KeepEnded: time.Minute, Upkeep: 2 * time.Second, Move: 1500 * time.Millisecond},
+		w.clock(), w.token, w.owners*100_000)
+	w.owners++
+	w.kernel.Step(w.clock(), cell.Configured{Configuration: w.config})
+	for _, id := range slices.Sorted(maps.Keys(w.specs)) {
+		spec := *w.specs[id]
+		w.kernel.Load(&spec, w.stored[id])
+	}
+	w.list()
+	w.step(cell.VMsListed{VMs: w.vms})
+}
+
+func (w *world) list() {
+	var listed []fleet.Executor
+	for _, id := range slices.Sorted(maps.Keys(w.executors)) {
+		if x := w.executors[id]; !x.down {
+			listed = append(listed, x.Executor)
+		}
+	}
+	w.step(cell.Listed{Executors: listed})
+}
+
+func (w *world) clock() cell.Now {
+	return cell.Now{Mono: w.now, UnixMs: w.now.Milliseconds()}
+}
+
+// play lets time pass.
+func (w *world) play(d time.Duration) {
+	for end := w.now + d; w.now < end; {
+		w.now += testStep
+		w.deliver()
+		for _, id := range slices.Sorted(maps.Keys(w.executors)) {
+			w.endRuns(w.executors[id])
+		}
+		w.step(cell.LeaseExtended{Until: w.now + time.Second})
+		w.step(cell.Tick{})
+	}
+}
+
+func (w *world) deliver() {
+	for {
+		i := slices.IndexFunc(w.later, func(d delayed) bool { return d.at <= w.now })
+		if i < 0 {
+			return
+		}
+		do := w.later[i].do
+		w.later = slices.Delete(w.later, i, i+1)
+		do()
+	}
+}
+
+func (w *world) after(d time.Duration, do func()) {
+	w.later = append(w.later, delayed{w.now + d, do})
+}
+
+// endRuns ends what is due on an executor.
+func (w *world) endRuns(x *fakeExecutor) {
+	clock := w.now.Milliseconds()
+	for _, task := range slices.Sorted(maps.Keys(x.runs)) {
+		r := x.runs[task]
+		switch {
+		case clock > x.deadline:
+			x.end(r, fleet.EndLapsed)
+		case r.ends <= w.now && !r.service:
+			x.end(r, r.how)
+		}
+	}
+}
+
+func (x *fakeExecutor) end(r *fakeRun, how fleet.RunEnd) {
+	delete(x.runs, r.task)
+	x.dead[r.task] = max(x.dead[r.task], r.run)
+	x.number++
+	x.ended = append(x.ended, fleet.EndedRun{Number: x.number, Task: r.task, Run: r.run, How: how})
+}
+
+func (w *world) step(e cell.Event) {
+	k := w.kernel
+	for _, effect := range k.Step(w.clock(), e) {
+		w.carryOut(k, effect)
+	}
+}
+
+// tell gives an answer to the owner that asked, unless it is gone.
+func (w *world) tell(k *cell.Kernel, e cell.Event) {
+	if k == w.kernel {
+		w.step(e)
+	}
+}
+
+func (w *world) carryOut(k *cell.Kernel, effect cell.Effect) {
+	switch e := effect.(type) {
+	case cell.Reply:
+		w.verdicts[e.Call] = e.Answer
+	case cell.Write:
+		w.after(5*time.Millisecond, func() { w.write(k, e) })
+	case cell.Start:
+		delay, answered := w.orders("start", e.Order.Task)
+		w.after(delay, func() {
+			a := w.start(e.Order)
+			if answered {
+				w.tell(k, cell.Started{Executor: e.Order.Executor, Task: e.Order.Task, Run: e.Order.Run, Answer: a})
+			}
+		})
+		if !answered {
+			w.after(500*time.Millisecond, func() {
+				w.tell(k, cell.Started{Executor: e.Order.Executor, Task: e.Order.Task, Run: e.Order.Run, Answer: fleet.OrderAnswer{Outcome: fleet.OrderUnknown}})
+			})
+		}
+	case cell.Stop:
+		delay, answered := w.orders("stop", e.Order.Task)
+		w.after(delay, func() {
+			a := w.stop(e.Order)
+			if answered {
+				w.tell(k, cell.Stopped{Executor: e.Order.Executor, Task: e.Order.Task, Run: e.Order.Run, Answer: a})
+			}
+		})
+		if !answered {
+			w.after(500*time.Millisecond, func() {
+				w.tell(k, cell.Stopped{Executor: e.Order.Executor, Task: e.Order.Task, Run: e.Order.Run, Answer: fleet.OrderAnswer{Outcome: fleet.OrderUnknown}})
+			})
+		}
+	case cell.Renew:
+		w.renew(k, e.Order)
+	case cell.ListVMs:
+		w.after(5*time.Millisecond, func() { w.tell(k, cell.VMsListed{VMs: w.vms}) })
+	}
+}
+
+// write stores a write, as the store does it for the present owner only.
+func (w *world) write(k *cell.Kernel, e cell.Write) {
+	if k != w.kernel {
+		return
+	}
+	if w.storeDown {
+		w.held = append(w.held, e)
+		return
+	}
+	for _, r := range e.Puts {
+		data, err := json.Marshal(r.Value)
+		require.NoError(w.t, err)
+		switch r.Kind {
+		case cell.JobRecord:
+			var j job.Job
+			require.NoError(w.t, json.Unmarshal(data, &j))
+			w.specs[r.Name] = &j
+		case cell.ProgressRecord:
+			var p job.Progress
+			require.NoError(w.t, json.Unmarshal(data, &p))
+			w.stored[r.Name] = p
+		}
+	}
+	w.step(cell.Written{Write: e.Number})
+}
+
+func (x *fakeExecutor) used() fleet.Vector {
+	var sum fleet.Vector
+	for _, r := range x.runs {
+		sum = sum.Add(r.size)
+	}
+	return sum
+}
+
+// start carries a start order out and checks that it breaks no rule.
+func (w *world) start(o fleet.StartOrder) fleet.OrderAnswer {
+	x := w.executors[o.Executor]
+	if x.dark || x.down {
+		return fleet.OrderAnswer{Outcome: fleet.OrderUnknown}
+	}
+	clock := w.now.Milliseconds()
+	answer := func(outcome fleet.OrderOutcome) fleet.OrderAnswer {
+		return fleet.OrderAnswer{Outcome: outcome, ClockMs: clock}
+	}
+	if o.Token < x.token {
+		return answer(fleet.OrderFenced)
+	}
+	x.token = o.Token
+	if o.DeadlineMs < clock {
+		return answer(fleet.OrderLate)
+	}
+	x.deadline = max(x.deadline, o.DeadlineMs)
+	if r := x.runs[o.Task]; r != nil && r.run == o.Run {
+		return answer(fleet.OrderDone)
+	}
+	if o.Run <= x.dead[o.Task] {
+		return answer(fleet.OrderOld)
+	}
+	id, err := job.ParseTaskID(o.Task)
+	require.NoError(w.t, err)
+	spec := w.specs[id.Job]
+	require.NotNil(w.t, spec, "a task of a job that is not stored was started: %s", o.Task)
+	step := spec.Steps[id.Step]
+	for _, other := range w.executors {
+		require.Nil(w.t, other.runs[o.Task], "at %v: %s run %d starts on %s beside a run on %s", w.now, o.Task, o.Run, x.ID, other.ID)
+	}
+	require.False(w.t, w.acknowledged[o.Task], "at %v: %s starts after its done end was acknowledged", w.now, o.Task)
+	require.True(w.t, x.used().Add(step.Reserved()).FitsIn(x.Room), "at %v: %s brings %s over its room", w.now, o.Task, x.ID)
+	took, how := w.taskTime(o.Task, o.Run)
+	x.runs[o.Task] = &fakeRun{task: o.Task, run: o.Run, size: step.Reserved(), ends: w.now + took, how: how, service: step.Service}
+	w.starts[o.Task]++
+	return answer(fleet.OrderDone)
+}
+
+func (w *world) stop(o fleet.StopOrder) fleet.OrderAnswer {
+	x := w.executors[o.Executor]
+	if x == nil || x.dark || x.down {
+		return fleet.OrderAnswer{Outcome: fleet.OrderUnknown}
+	}
+	if o.Token < x.token {
+		return fleet.OrderAnswer{Outcome: fleet.OrderFenced}
+	}
+	x.token = o.Token
+	if r := x.runs[o.Task]; r != nil && r.run <= o.Run {
+		r.service, r.ends, r.how = false, min(r.ends, w.now+testStop/2), fleet.EndStopped
+		if r.ends <= w.now {
+			r.ends = w.now + testStop/2
+		}
+	}
+	x.dead[o.Task] = max(x.dead[o.Task], o.Run)
+	return fleet.OrderAnswer{Outcome: fleet.OrderDone, ClockMs: w.now.Milliseconds()}
+}
+
+// renew carries a renewal out; it answers at once.
+func (w *world) renew(k *cell.Kernel, o fleet.Renewal) {
+	sent := w.now
+	delay, answered := w.orders("renew", "")
+	w.after(max(delay, 5*time.Millisecond), func() {
+		x := w.executors[o.Executor]
+		if x == nil || x.dark || x.down || !answered {
+			w.after(600*time.Millisecond, func() {
+				w.tell(k, cell.Renewed{Executor: o.Executor, Sent: sent, State: fleet.ExecutorState{Outcome: fleet.OrderUnknown}})
+			})
+			return
+		}
+		s := w.look(x, o)
+		w.tell(k, cell.Renewed{Executor: o.Executor, Sent: sent, State: s})
+	})
+}
+
+func (w *world) look(x *fakeExecutor, o fleet.Renewal) fleet.ExecutorState {
+	clock := w.now.Milliseconds()
+	s := fleet.ExecutorState{Outcome: fleet.OrderDone, ClockMs: clock, Born: x.Born}
+	if o.Token < x.token {
+		s.Outcome = fleet.OrderFenced
+		return s
+	}
+	x.token = o.Token
+	x.deadline = max(x.deadline, o.DeadlineMs)
+	require.LessOrEqual(w.t, x.deadline-clock, testHoldMax.Milliseconds(), "a deadline beyond what is allowed")
+	if o.Acknowledged > x.ack {
+		x.ack = o.Acknowledged
+		x.ended = slices.DeleteFunc(x.ended, func(e fleet.EndedRun) bool {
+			if e.Number > x.ack {
+				return false
+			}
+			if e.How == fleet.EndDone {
+				w.acknowledged[e.Task] = true
+			}
+			return true
+		})
+	}
+	for _, task := range slices.Sorted(maps.Keys(x.runs)) {
+		s.Active = append(s.Active, fleet.ActiveRun{Task: task, Run: x.runs[task].run, Percent: 100})
+	}
+	s.Ended = append(s.Ended, x.ended...)
+	return s
+}
+
+// submit hands a job in and returns its call.
+func (w *world) submit(j *job.Job) cell.CallID {
+	w.calls++
+	if j.Queue == "" {
+		j.Queue = "proofs"
+	}
+	w.step(cell.Submitted{Call: w.calls, Job: j})
+	return w.calls
+}
+
+func (w *world) cancel(id string) cell.CallID {
+	w.calls++
+	w.step(cell.CancelAsked{Call: w.calls, Job: id})
+	return w.calls
+}
+
+func (w *world) state(id string) job.State {
+	s, _ := w.kernel.StateOf(id)
+	return s
+}
+
+// simpleJob returns a job of one step.
+func simpleJob(n, count int, cpu int64) *job.Job {
+	return &job.Job{
+		ID: fmt.Sprintf("%016x", n), Team: "notaries", Spec: "s",
+		Steps: []job.Step{{Count: count, Size: fleet.Vector{CPU: cpu, Mem: 100}, EstimateMs: 500}},
+	}
+}
