End a takeover when the list of VMs accounts for what has not answered

Cause: a new owner waited out all inherited deadlines, 4.2 s, whenever one registered executor did not answer; most of those had ended by a move or by maintenance and stood in the list until their entry lapsed. The list of VMs says which VM is up with which executor: one without a VM that is up runs nothing. The same ends the wait for the runs of a crashed executor. Ruled out: a shorter hold (runs would lapse in takeovers).

--- a/core/cell/executors.go
+++ b/core/cell/executors.go
@@ -113,11 +113,16 @@
 		x := k.executors[id]
 		k.retryStops(x)
 		silent := x.misses > 0 || !x.listed
-		if !silent || !k.lapsed(x) {
+		gone := x.absent && x.misses > 0
+		if !silent || (!gone && !k.lapsed(x)) {
 			continue
 		}
+		reason := "executor silent past its deadline"
+		if gone {
+			reason = "its VM is not up"
+		}
 		for _, r := range sortedRuns(x) {
-			k.dropRun(r, "executor silent past its deadline")
+			k.dropRun(r, reason)
 		}
 		if !x.listed {
 			k.log("executor_removed", "executor", x.ID)
@@ -270,7 +275,10 @@
 	}
 	x.misses = 0
 	first := !x.fenced
-	x.fenced = true
+	if first {
+		x.fencedAt = k.now.Mono
+	}
+	x.fenced, x.absent = true, false
 	x.clock, x.clockAt = s.ClockMs, k.now.Mono
 	for _, end := range s.Ended {
 		if end.Number > x.seenSeq {
--- a/core/cell/kernel.go
+++ b/core/cell/kernel.go
@@ -65,21 +65,22 @@
 	depth     map[string]int
 
 	// recovering holds back the tasks that an earlier owner may have started.
-	recovering bool
-	claimedAt  time.Duration
-	listSeen   bool
-	uncertain  []*stepRun
-	unmatched  map[string][]fleet.ActiveRun
-	waves      map[int]*wave
-	vms        map[string]fleet.VM
-	vmsAt      time.Duration
-	vmsAsked   time.Duration
-	ordered    map[string]vmOrder
-	out        outbox
-	sweptAt    time.Duration
-	deposed    bool
-	effects    []Effect
-	lentAt     time.Duration
+	recovering  bool
+	claimedAt   time.Duration
+	listSeen    bool
+	uncertain   []*stepRun
+	unmatched   map[string][]fleet.ActiveRun
+	waves       map[int]*wave
+	vms         map[string]fleet.VM
+	vmsAt       time.Duration
+	vmsAsked    time.Duration
+	ordered     map[string]vmOrder
+	out         outbox
+	sweptAt     time.Duration
+	deposed     bool
+	effects     []Effect
+	lentAt      time.Duration
+	poolsLogged time.Duration
 	// lendable counts the VMs that are off and could be lent.
 	lendable int
 	// refusals holds when a refused job was first handed in.
--- a/core/cell/lend.go
+++ b/core/cell/lend.go
@@ -21,7 +21,8 @@
 	waitingShare = 0.7
 	// minVMs keeps a pool alive through the loss of a VM.
 	minVMs         = 2
-	maxMovesAtOnce = 24
+	maxMovesAtOnce = 48
+	poolsLogEvery  = time.Second
 )
 
 // lend moves idle VMs to the pools that need them.
@@ -32,6 +33,13 @@
 	}
 	k.lentAt = k.now.Mono
 	pools, cores := k.lendingPools()
+	if k.now.Mono >= k.poolsLogged+poolsLogEvery {
+		k.poolsLogged = k.now.Mono
+		for i := range pools {
+			p := &pools[i]
+			k.log("pool_planned", "pool", p.Name, "vms", p.VMs, "idle", len(p.Idle), "cores", int(p.Cores), "target", p.Target(cores))
+		}
+	}
 	k.lendable = 0
 	for i := range pools {
 		if pools[i].Spare {
--- a/core/cell/recover.go
+++ b/core/cell/recover.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"jacinthwind/core/fleet"
 	"jacinthwind/core/job"
 )
 
@@ -80,18 +81,19 @@
 	k.log("recovery_ended", "took_ms", (k.now.Mono-k.claimedAt)/time.Millisecond, "waiting_tasks", uncertain, "executors", len(k.executors))
 }
 
-// allFenced reports whether every executor that may be alive has answered.
+// allFenced reports whether every executor that may be alive has answered. The
+// list of VMs tells which of those that are registered have ended.
 func (k *Kernel) allFenced() bool {
 	if !k.listSeen || k.vmsAt == 0 {
 		return false
 	}
 	for _, x := range k.executors {
-		if !x.fenced {
+		if !x.fenced && !x.absent {
 			return false
 		}
 	}
 	for _, vm := range k.vms {
-		if vm.Executor != "" && k.executors[vm.Executor] == nil && !k.config.PoolIsSpare(vm.Pool) {
+		if vm.Executor != "" && vm.State == fleet.VMUp && k.executors[vm.Executor] == nil && !k.config.PoolIsSpare(vm.Pool) {
 			return false
 		}
 	}
--- a/core/cell/schedule.go
+++ b/core/cell/schedule.go
@@ -94,6 +94,11 @@
 func (k *Kernel) freeExecutors(pool string) []*executor {
 	var free []*executor
 	for _, x := range k.executors {
+		// A later owner, which claims after our proof has ended, may not know an
+		// executor that joined since.
+		if k.now.Mono > k.until && x.fencedAt > k.until {
+			continue
+		}
 		if x.Pool == pool && k.usable(x) && k.deadline(x) >= x.clock+(k.now.Mono-x.clockAt+minLease).Milliseconds() {
 			free = append(free, x)
 		}
--- a/core/cell/state.go
+++ b/core/cell/state.go
@@ -134,8 +134,12 @@
 type executor struct {
 	fleet.Executor
 	listed bool
-	// fenced says that the incarnation has answered a call with our token.
-	fenced bool
+	// fenced says that the incarnation has answered a call with our token, since
+	// fencedAt.
+	fenced   bool
+	fencedAt time.Duration
+	// absent says that no VM that is up has this executor.
+	absent bool
 	born   int64
 	used   fleet.Vector
 	runs   map[runKey]*run
--- a/core/cell/wave.go
+++ b/core/cell/wave.go
@@ -81,16 +81,29 @@
 	k.vms = make(map[string]fleet.VM, len(vms))
 	for _, x := range k.executors {
 		x.vm = ""
+		// An executor that joined after the question may be missing in the answer.
+		x.absent = len(vms) > 0 && x.knownSince < k.vmsAsked
 	}
 	for _, vm := range vms {
 		k.vms[vm.Name] = vm
 		if x := k.executors[vm.Executor]; x != nil && vm.Executor != "" {
 			x.vm = vm.Name
+			x.absent = x.absent && vm.State != fleet.VMUp
 		}
 		k.settleVMOrder(vm)
 	}
 }
 
+// doubtful reports whether the list of VMs would tell if an executor is alive.
+func (k *Kernel) doubtful() bool {
+	for _, x := range k.executors {
+		if !x.absent && ((x.misses > 0 && len(x.runs) > 0) || (!x.fenced && k.recovering)) {
+			return true
+		}
+	}
+	return false
+}
+
 // settleVMOrder ends an order whose VM is back.
 func (k *Kernel) settleVMOrder(vm fleet.VM) {
 	o, ok := k.ordered[vm.Name]
@@ -115,7 +128,7 @@
 
 // maintain drives all waves.
 func (k *Kernel) maintain() {
-	busy := len(k.ordered) > 0
+	busy := len(k.ordered) > 0 || k.doubtful()
 	for _, n := range slices.Sorted(maps.Keys(k.waves)) {
 		w := k.waves[n]
 		if w.status == waveSucceeded || len(w.VMs) == 0 {
--- a/core/demand/tracker.go
+++ b/core/demand/tracker.go
@@ -10,6 +10,9 @@
 	sample = 8
 	// minSpan bounds the rate that a few jobs at one moment make.
 	minSpan = 200 * time.Millisecond
+	// quietGaps is after how many usual gaps without a job a turn is over; jobs
+	// that come at random leave such a gap in one of fifty cases.
+	quietGaps = 4
 	// sizeWeight is the weight of a new job in the mean size.
 	sizeWeight = 0.1
 )
@@ -33,11 +36,14 @@
 }
 
 // Rate returns the work that is asked for, in cores; it falls as time passes
-// without jobs.
+// without jobs, and is zero once a turn is over.
 func (t *Tracker) Rate(now time.Duration) float64 {
 	if t.count < sample {
 		return 0
 	}
-	oldest := t.times[t.count%sample]
+	oldest, newest := t.times[t.count%sample], t.times[(t.count-1)%sample]
+	if gap := max(newest-oldest, minSpan) / (sample - 1); now-newest > quietGaps*gap+minSpan {
+		return 0
+	}
 	return t.size * sample / max(now-oldest, minSpan).Seconds()
 }
