--- a/commands/edge.go
+++ b/commands/edge.go
@@ -5,7 +5,10 @@
 	"fmt"
 	"net"
 	"os"
+	"os/signal"
+	"reflect"
 	"strconv"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -62,8 +65,42 @@
 		Advisor: &platform.Advisor{Address: s.Advice, Client: platform.NewHTTPClient(singleConns, singleConns)},
 		Codec:   platform.Codec{}, Relay: relay, PeerClient: peers, Log: log,
 	})
+	go followSettings(ctx, s, log)
 	if err := process.Run(ctx); err != nil {
 		return fmt.Errorf("edge: %w", err)
 	}
 	return nil
 }
+
+// settingsPoll is how often the settings file is read without a signal.
+const settingsPoll = 5 * time.Second
+
+// followSettings says when the settings file changes, by a signal or without;
+// a running process keeps what it was started with.
+func followSettings(ctx context.Context, present platform.Settings, log *zap.Logger) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	poll := time.NewTicker(settingsPoll)
+	defer poll.Stop()
+	for {
+		signalled := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-poll.C:
+		case <-hup:
+			signalled = true
+		}
+		next, err := platform.ReadSettings()
+		switch {
+		case err != nil:
+			log.Error("settings cannot be read", zap.Error(err))
+		case !reflect.DeepEqual(next, present):
+			present = next
+			log.Info("settings changed, in force from the next start", zap.Bool("signalled", signalled))
+		case signalled:
+			log.Info("settings read again, nothing changed")
+		}
+	}
+}
--- a/core/cell/kernel_test.go
+++ b/core/cell/kernel_test.go
@@ -182,3 +182,29 @@
 	w.play(2 * time.Second)
 	require.Empty(t, w.kernel.Step(w.clock(), cell.Tick{}), "the stale owner still acts")
 }
+
+// TestUnstoredEndKeepsItsVM replays scale-1 with seed 355961583364 of
+// zkw-tarcza: while the store was down a VM was moved that alone knew how a run
+// had ended, so that the next owner started the task once too often.
+func TestUnstoredEndKeepsItsVM(t *testing.T) {
+	waves := []fleet.Wave{{Number: 1, VMs: []string{"vm-e0", "vm-e1", "vm-e2", "vm-e3", "vm-e4"}, Within: 20, Cap: 5}}
+	for name, event := range map[string]cell.Event{"lending": cell.Tick{}, "maintenance": cell.WavesAsked{Waves: waves}} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 5)
+			w.play(time.Second)
+			j := simpleJob(1, 1, 2000)
+			w.submit(j)
+			w.play(200 * time.Millisecond)
+			w.storeDown = true
+			clear(w.moved)
+			w.step(event)
+			w.play(3 * time.Second)
+			for id, x := range w.executors {
+				if len(x.ended) > 0 {
+					require.False(t, w.moved[id] || w.maintained[id], "the VM of %s was ordered away", id)
+				}
+			}
+			require.NotEmpty(t, len(w.moved)+len(w.maintained))
+		})
+	}
+}
--- a/core/cell/lend.go
+++ b/core/cell/lend.go
@@ -110,7 +110,7 @@
 	if x == nil || !x.listed || !x.fenced || x.Draining || x.misses > 0 || x.cordoned {
 		return 0, false
 	}
-	if len(x.runs) > 0 || x.Pool != vm.Pool {
+	if len(x.runs) > 0 || x.Pool != vm.Pool || x.holdsEnds() {
 		return 0, true
 	}
 	return max(k.now.Mono-x.busyAt, time.Nanosecond), true
--- a/core/cell/wave.go
+++ b/core/cell/wave.go
@@ -215,7 +215,13 @@
 
 // emptied reports whether nothing is lost by taking an executor down.
 func (k *Kernel) emptied(x *executor, late bool) bool {
-	if x == nil || len(x.runs) == 0 {
+	if x == nil {
+		return true
+	}
+	if x.holdsEnds() {
+		return false
+	}
+	if len(x.runs) == 0 {
 		return true
 	}
 	if !late {
@@ -229,6 +235,10 @@
 	return true
 }
 
+// holdsEnds reports whether the executor alone knows how some of its runs ended:
+// what it lists is not stored yet.
+func (x *executor) holdsEnds() bool { return x.seenSeq > x.ackSeq }
+
 // vacate stops the service runs of a cordoned executor as their disruption
 // budgets allow, so that they start elsewhere.
 func (k *Kernel) vacate(x *executor) {
--- a/core/cell/world_test.go
+++ b/core/cell/world_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -77,7 +78,8 @@
 	// acknowledged holds the tasks whose done end was acknowledged.
 	acknowledged map[string]bool
 	starts       map[string]int
-	log          []string
+	// moved and maintained hold the executors whose VMs were ordered away.
+	moved, maintained map[string]bool
 }
 
 // delayed is something that happens later.
@@ -91,6 +93,7 @@
 		t: t, now: time.Hour, executors: map[string]*fakeExecutor{}, specs: map[string]*job.Job{},
 		stored: map[string]job.Progress{}, accepted: map[string]bool{}, verdicts: map[cell.CallID]cell.Answer{},
 		acknowledged: map[string]bool{}, starts: map[string]int{},
+		moved: map[string]bool{}, maintained: map[string]bool{},
 		taskTime: func(string, int) (time.Duration, fleet.RunEnd) { return 500 * time.Millisecond, fleet.EndDone },
 		orders:   func(string, string) (time.Duration, bool) { return time.Millisecond, true },
 	}
@@ -245,6 +248,12 @@
 		}
 	case cell.Renew:
 		w.renew(k, e.Order)
+	case cell.MoveVM:
+		w.moved[strings.TrimPrefix(e.VM, "vm-")] = true
+		w.after(time.Millisecond, func() { w.tell(k, cell.VMOrdered{VM: e.VM, Outcome: fleet.VMOrderRefused}) })
+	case cell.MaintainVM:
+		w.maintained[strings.TrimPrefix(e.VM, "vm-")] = true
+		w.after(time.Millisecond, func() { w.tell(k, cell.VMOrdered{VM: e.VM, Outcome: fleet.VMOrderRefused}) })
 	case cell.ListVMs:
 		w.after(5*time.Millisecond, func() { w.tell(k, cell.VMsListed{VMs: w.vms}) })
 	}
