Record orders for VMs before they are sent, so that a new owner waits for those only

Cause: after a takeover no VM could be moved for leaseMs (3 s), since an earlier owner might have ordered for any; after the final faults the queues in their turn were refused all the while. Orders are named in the store first (one more record in the next write); the next owner leaves those VMs alone for the lease.

--- a/core/cell/event.go
+++ b/core/cell/event.go
@@ -176,6 +176,8 @@
 	WaveRecord     RecordKind = "wave"
 	// WaveStatus is the record by which operators see a wave's state.
 	WaveStatus RecordKind = "wave_status"
+	// VMOrders is the record of the VMs that were ordered for lately.
+	VMOrders RecordKind = "vm_orders"
 )
 
 // Record is a value to store under a kind and a name.
--- a/core/cell/kernel.go
+++ b/core/cell/kernel.go
@@ -65,22 +65,26 @@
 	depth     map[string]int
 
 	// recovering holds back the tasks that an earlier owner may have started.
-	recovering  bool
-	claimedAt   time.Duration
-	listSeen    bool
-	uncertain   []*stepRun
-	unmatched   map[string][]fleet.ActiveRun
-	waves       map[int]*wave
-	vms         map[string]fleet.VM
-	vmsAt       time.Duration
-	vmsAsked    time.Duration
-	ordered     map[string]vmOrder
-	out         outbox
-	sweptAt     time.Duration
-	deposed     bool
-	effects     []Effect
-	lentAt      time.Duration
-	poolsLogged time.Duration
+	recovering bool
+	claimedAt  time.Duration
+	listSeen   bool
+	uncertain  []*stepRun
+	unmatched  map[string][]fleet.ActiveRun
+	waves      map[int]*wave
+	vms        map[string]fleet.VM
+	vmsAt      time.Duration
+	vmsAsked   time.Duration
+	ordered    map[string]vmOrder
+	// recent holds when VMs were ordered for, and orderedBefore those that an
+	// earlier owner had ordered for lately.
+	recent        map[string]time.Duration
+	orderedBefore map[string]bool
+	out           outbox
+	sweptAt       time.Duration
+	deposed       bool
+	effects       []Effect
+	lentAt        time.Duration
+	poolsLogged   time.Duration
 	// lendable counts the VMs that are off and could be lent.
 	lendable int
 	// refusals holds when a refused job was first handed in.
@@ -96,8 +100,8 @@
 		pools: map[string]*pool{}, usage: map[string]fleet.Vector{},
 		evacuated: map[string]bool{}, depth: map[string]int{},
 		waves: map[int]*wave{}, vms: map[string]fleet.VM{},
-		ordered: map[string]vmOrder{},
-		config:  &fleet.Configuration{}, refusals: map[string]time.Duration{},
+		ordered: map[string]vmOrder{}, recent: map[string]time.Duration{}, orderedBefore: map[string]bool{},
+		config: &fleet.Configuration{}, refusals: map[string]time.Duration{},
 		out: outbox{dirty: map[string]*jobState{}, records: map[string]Record{}},
 	}
 }
@@ -154,7 +158,7 @@
 	k.maintain()
 	k.schedule()
 	k.lend()
-	k.retryMoves()
+	k.retryOrders()
 	k.flush()
 	k.renew()
 	k.sweep()
--- a/core/cell/kernel_test.go
+++ b/core/cell/kernel_test.go
@@ -205,3 +205,20 @@
 		})
 	}
 }
+
+// TestNextOwnerLeavesOrderedVMsAlone takes over right after VMs were ordered
+// away: the next owner may order for the others at once, for those after the
+// lease of the order only (checked by the world).
+func TestNextOwnerLeavesOrderedVMsAlone(t *testing.T) {
+	for owners := range 5 {
+		w := newWorld(t, 6)
+		w.play(time.Second + time.Duration(owners)*30*time.Millisecond)
+		require.NotEmpty(t, w.moved)
+		for range 3 {
+			w.later = nil
+			w.claim()
+			w.play(100 * time.Millisecond)
+		}
+		w.play(3 * time.Second)
+	}
+}
--- a/core/cell/lend.go
+++ b/core/cell/lend.go
@@ -27,8 +27,7 @@
 
 // lend moves idle VMs to the pools that need them.
 func (k *Kernel) lend() {
-	if k.now.Mono < k.lentAt+lendEvery || k.vmsAt == 0 || k.recovering ||
-		k.now.Mono < k.claimedAt+k.OrderLease || k.now.Mono > k.until {
+	if k.now.Mono < k.lentAt+lendEvery || k.vmsAt == 0 || k.recovering || k.now.Mono > k.until {
 		return
 	}
 	k.lentAt = k.now.Mono
@@ -83,7 +82,7 @@
 		if moving || able {
 			p.VMs++
 		}
-		if !moving && idle > 0 && vm.State == fleet.VMUp && !k.inOpenWave(name) {
+		if !moving && idle > 0 && vm.State == fleet.VMUp && !k.inOpenWave(name) && k.mayOrder(name) {
 			p.Idle = append(p.Idle, lending.VM{Name: name, Idle: idle})
 		}
 	}
@@ -164,21 +163,6 @@
 	if x != nil {
 		x.cordoned = true
 	}
-	k.ordered[vm] = vmOrder{pool: pool, sent: k.now.Mono, executor: from.Executor}
 	k.log("move_ordered", "vm", vm, "from", from.Pool, "to", pool)
-	k.emit(MoveVM{VM: vm, Pool: pool, Token: k.Token})
-}
-
-// retryMoves repeats moves that got no answer; a move that is done is answered
-// as such.
-func (k *Kernel) retryMoves() {
-	for _, name := range slices.Sorted(maps.Keys(k.ordered)) {
-		o := k.ordered[name]
-		if o.pool == "" || o.answered || k.now.Mono < o.sent+vmOrderRetry || k.now.Mono > k.until {
-			continue
-		}
-		o.sent = k.now.Mono
-		k.ordered[name] = o
-		k.emit(MoveVM{VM: name, Pool: o.pool, Token: k.Token})
-	}
+	k.order(vm, vmOrder{pool: pool, sent: k.now.Mono, executor: from.Executor})
 }
--- a/core/cell/persist.go
+++ b/core/cell/persist.go
@@ -14,6 +14,8 @@
 	records map[string]Record
 	remove  []string
 	acks    []ack
+	// orders lists the VMs whose orders wait for their record.
+	orders []string
 	// inFlight is the write that the host carries out, zero when there is none.
 	inFlight int64
 	sent     batch
@@ -23,8 +25,9 @@
 
 // batch is what a write settles.
 type batch struct {
-	jobs []*jobState
-	acks []ack
+	jobs   []*jobState
+	acks   []ack
+	orders []string
 }
 
 // ack says that the ends of an incarnation up to a number may be acknowledged.
@@ -63,7 +66,8 @@
 		w.Puts = append(w.Puts, o.records[name])
 	}
 	o.sent.acks = o.acks
-	o.acks, o.remove = nil, nil
+	o.sent.orders = o.orders
+	o.acks, o.remove, o.orders = nil, nil, nil
 	clear(o.dirty)
 	clear(o.records)
 	o.number++
@@ -90,6 +94,11 @@
 	for _, j := range o.sent.jobs {
 		k.jobStored(j)
 	}
+	for _, vm := range o.sent.orders {
+		if order, ok := k.ordered[vm]; ok && !order.recorded {
+			k.sendOrder(vm, order)
+		}
+	}
 	o.sent = batch{}
 }
 
--- a/core/cell/schedule.go
+++ b/core/cell/schedule.go
@@ -16,6 +16,9 @@
 	minLease = 500 * time.Millisecond
 	// provenFor is how long a success speaks for an executor.
 	provenFor = 5 * time.Second
+	// maxTogether is how many service tasks of a step share an executor while
+	// there are others.
+	maxTogether = 2
 	// adviceMost is the largest number of executors that a call may name.
 	adviceMost = 30
 	// adviceRetry is when advice that did not come is asked for again.
@@ -221,8 +224,9 @@
 		sc.crowd = x.targets()
 		sc.left = -sc.left
 	case s.Service:
-		// Spreading keeps one loss from taking several tasks of a step.
-		sc.crowd = x.count(s)
+		// Few VMs hold the service tasks, so that the others can be lent or off,
+		// but one loss takes few tasks of a step.
+		sc.crowd = max(x.count(s)-maxTogether+1, 0)
 	}
 	return sc
 }
--- a/core/cell/wave.go
+++ b/core/cell/wave.go
@@ -37,6 +37,8 @@
 	wave int
 	pool string
 	sent time.Duration
+	// recorded says that the store names the VM, so that the order may be sent.
+	recorded bool
 	// answered says that the order is known to be carried out.
 	answered bool
 	// executor is the VM's executor when the order was sent.
@@ -135,7 +137,7 @@
 			continue
 		}
 		busy = true
-		if k.vmsAt == 0 || k.now.Mono < k.claimedAt+k.OrderLease || k.recovering || k.now.Mono > k.until {
+		if k.vmsAt == 0 || k.recovering || k.now.Mono > k.until {
 			continue
 		}
 		k.driveWave(w)
@@ -154,9 +156,6 @@
 	for _, name := range w.VMs {
 		if o, ok := k.ordered[name]; ok && o.pool == "" {
 			down++
-			if !o.answered && k.now.Mono > o.sent+vmOrderRetry {
-				k.orderUpkeep(w, name)
-			}
 			continue
 		}
 		vm, there := k.vms[name]
@@ -181,7 +180,7 @@
 	late := (k.now.Mono-w.asked).Seconds()*100 > w.Within*forceShare
 	for i, name := range open {
 		x := k.executors[k.vms[name].Executor]
-		if down < w.Cap && k.vms[name].State == fleet.VMUp && k.emptied(x, late) {
+		if down < w.Cap && k.vms[name].State == fleet.VMUp && k.mayOrder(name) && k.emptied(x, late) {
 			k.orderUpkeep(w, name)
 			down++
 			continue
@@ -273,12 +272,79 @@
 		o.executor = k.vms[name].Executor
 	}
 	o.wave, o.sent = w.Number, k.now.Mono
-	k.ordered[name] = o
 	if x := k.executors[o.executor]; x != nil {
 		x.cordoned = true
 	}
 	k.log("upkeep_ordered", "vm", name, "wave", w.Number, "executor", o.executor)
-	k.emit(MaintainVM{VM: name, Wave: w.Number, Token: k.Token})
+	k.order(name, o)
+}
+
+// mayOrder reports whether no earlier owner can have ordered for a VM lately.
+func (k *Kernel) mayOrder(vm string) bool {
+	return !k.orderedBefore[vm] || k.now.Mono >= k.claimedAt+k.OrderLease
+}
+
+// order sends an order for a VM once the store names the VM, so that the next
+// owner knows which VMs it must leave alone for a while.
+func (k *Kernel) order(vm string, o vmOrder) {
+	if o.recorded {
+		k.ordered[vm] = o
+		k.sendOrder(vm, o)
+		return
+	}
+	k.ordered[vm] = o
+	k.recent[vm] = k.now.Mono
+	record := OrdersRecord{}
+	for _, name := range slices.Sorted(maps.Keys(k.recent)) {
+		if k.now.Mono > k.recent[name]+k.OrderLease {
+			delete(k.recent, name)
+			continue
+		}
+		record.VMs = append(record.VMs, name)
+	}
+	k.out.records["orders"] = Record{VMOrders, "recent", record}
+	k.out.orders = append(k.out.orders, vm)
+}
+
+// sendOrder sends an order, unless the proof of the ownership has ended.
+func (k *Kernel) sendOrder(vm string, o vmOrder) {
+	if k.now.Mono > k.until {
+		k.endVMOrder(vm, k.executors[o.executor])
+		return
+	}
+	o.recorded, o.sent = true, k.now.Mono
+	k.ordered[vm] = o
+	if o.pool != "" {
+		k.emit(MoveVM{VM: vm, Pool: o.pool, Token: k.Token})
+		return
+	}
+	k.emit(MaintainVM{VM: vm, Wave: o.wave, Token: k.Token})
+}
+
+// retryOrders repeats orders that got no answer; one that is done is answered
+// as such.
+func (k *Kernel) retryOrders() {
+	for _, name := range slices.Sorted(maps.Keys(k.ordered)) {
+		o := k.ordered[name]
+		if o.recorded && !o.answered && k.now.Mono >= o.sent+vmOrderRetry && k.now.Mono <= k.until {
+			k.sendOrder(name, o)
+		}
+	}
+}
+
+// OrdersRecord is what is stored of the orders for VMs.
+type OrdersRecord struct {
+	// VMs lists those that were ordered for lately.
+	VMs []string `json:"vms"`
+}
+
+// LoadOrders takes the orders of earlier owners before the first event.
+func (k *Kernel) LoadOrders(r OrdersRecord) {
+	for _, vm := range r.VMs {
+		k.orderedBefore[vm] = true
+		// They stay named until they are surely old.
+		k.recent[vm] = k.now.Mono
+	}
 }
 
 // finishVM notes that a VM of a wave needs no more.
--- a/core/cell/world_test.go
+++ b/core/cell/world_test.go
@@ -80,6 +80,27 @@
 	starts       map[string]int
 	// moved and maintained hold the executors whose VMs were ordered away.
 	moved, maintained map[string]bool
+	orderRecord       cell.OrdersRecord
+	// lastOrder holds who ordered for a VM last, and when.
+	lastOrder map[string]vmOrdered
+}
+
+// vmOrdered is an order for a VM.
+type vmOrdered struct {
+	token int64
+	at    time.Duration
+}
+
+// testOrderLease is for how long another owner's order protects a VM.
+const testOrderLease = time.Second
+
+// checkVMOrder checks that owners do not take turns at a VM.
+func (w *world) checkVMOrder(vm string, token int64) {
+	last, ok := w.lastOrder[vm]
+	if ok && last.token != token {
+		require.Greater(w.t, w.now, last.at+testOrderLease, "owners take turns at %s", vm)
+	}
+	w.lastOrder[vm] = vmOrdered{token, w.now}
 }
 
 // delayed is something that happens later.
@@ -93,7 +114,7 @@
 		t: t, now: time.Hour, executors: map[string]*fakeExecutor{}, specs: map[string]*job.Job{},
 		stored: map[string]job.Progress{}, accepted: map[string]bool{}, verdicts: map[cell.CallID]cell.Answer{},
 		acknowledged: map[string]bool{}, starts: map[string]int{},
-		moved: map[string]bool{}, maintained: map[string]bool{},
+		moved: map[string]bool{}, maintained: map[string]bool{}, lastOrder: map[string]vmOrdered{},
 		taskTime: func(string, int) (time.Duration, fleet.RunEnd) { return 500 * time.Millisecond, fleet.EndDone },
 		orders:   func(string, string) (time.Duration, bool) { return time.Millisecond, true },
 	}
@@ -124,7 +145,7 @@
 func (w *world) claim() {
 	w.token += 10
 	w.held = nil
-	w.kernel = cell.New(cell.Settings{HoldMax: testHoldMax, StopMax: testStop, OrderLease: time.Second, KeepEnded: time.Minute, Upkeep: 2 * time.Second, Move: 1500 * time.Millisecond},
+	w.kernel = cell.New(cell.Settings{HoldMax: testHoldMax, StopMax: testStop, OrderLease: testOrderLease, KeepEnded: time.Minute, Upkeep: 2 * time.Second, Move: 1500 * time.Millisecond},
 		w.clock(), w.token, w.owners*100_000)
 	w.owners++
 	w.kernel.Step(w.clock(), cell.Configured{Configuration: w.config})
@@ -132,6 +153,7 @@
 		spec := *w.specs[id]
 		w.kernel.Load(&spec, w.stored[id])
 	}
+	w.kernel.LoadOrders(w.orderRecord)
 	w.list()
 	w.step(cell.VMsListed{VMs: w.vms})
 }
@@ -249,9 +271,11 @@
 	case cell.Renew:
 		w.renew(k, e.Order)
 	case cell.MoveVM:
+		w.checkVMOrder(e.VM, e.Token)
 		w.moved[strings.TrimPrefix(e.VM, "vm-")] = true
 		w.after(time.Millisecond, func() { w.tell(k, cell.VMOrdered{VM: e.VM, Outcome: fleet.VMOrderRefused}) })
 	case cell.MaintainVM:
+		w.checkVMOrder(e.VM, e.Token)
 		w.maintained[strings.TrimPrefix(e.VM, "vm-")] = true
 		w.after(time.Millisecond, func() { w.tell(k, cell.VMOrdered{VM: e.VM, Outcome: fleet.VMOrderRefused}) })
 	case cell.ListVMs:
@@ -276,6 +300,8 @@
 			var j job.Job
 			require.NoError(w.t, json.Unmarshal(data, &j))
 			w.specs[r.Name] = &j
+		case cell.VMOrders:
+			require.NoError(w.t, json.Unmarshal(data, &w.orderRecord))
 		case cell.ProgressRecord:
 			var p job.Progress
 			require.NoError(w.t, json.Unmarshal(data, &p))
--- a/edge/host.go
+++ b/edge/host.go
@@ -327,5 +327,9 @@
 	if err != nil {
 		return err
 	}
-	return loadRecords(k, jobs, progress, waves)
+	orders, err := store.Get(ctx, keyOrders)
+	if err != nil && !errors.Is(err, core.ErrNotFound) {
+		return err
+	}
+	return loadRecords(k, jobs, progress, waves, orders)
 }
--- a/edge/load.go
+++ b/edge/load.go
@@ -12,7 +12,7 @@
 )
 
 // loadRecords gives a kernel what earlier owners stored.
-func loadRecords(k *cell.Kernel, jobs, progress, waves map[string]core.Item) error {
+func loadRecords(k *cell.Kernel, jobs, progress, waves map[string]core.Item, orders core.Item) error {
 	for key, item := range jobs {
 		var j job.Job
 		if err := json.Unmarshal(item.Value, &j); err != nil {
@@ -37,5 +37,12 @@
 		}
 		k.LoadWave(number, p)
 	}
+	if len(orders.Value) > 0 {
+		var r cell.OrdersRecord
+		if err := json.Unmarshal(orders.Value, &r); err != nil {
+			return fmt.Errorf("%s: %w", keyOrders, err)
+		}
+		k.LoadOrders(r)
+	}
 	return nil
 }
--- a/edge/records.go
+++ b/edge/records.go
@@ -17,6 +17,7 @@
 	prefixJob      = "jw/job/"
 	prefixProgress = "jw/progress/"
 	prefixWave     = "jw/wave/"
+	keyOrders      = "jw/orders"
 )
 
 // ownerRecord names who owns the pools; its revision is the fencing token.
@@ -59,6 +60,8 @@
 		return core.Put{Key: prefixProgress + r.Name, Value: encode(r.Value)}
 	case cell.WaveRecord:
 		return core.Put{Key: prefixWave + r.Name, Value: encode(r.Value)}
+	case cell.VMOrders:
+		return core.Put{Key: keyOrders, Value: encode(r.Value)}
 	case cell.WaveStatus:
 		status, _ := r.Value.(string)
 		key, value := codec.WaveStatus(r.Name, status)
