Count failures by run, acknowledge nothing to a new incarnation, bound waves over takeovers

Failures are stored by run; VMs ordered for lately count as down; after a miss nothing is acknowledged, and a clock that goes back is a new incarnation. Refused orders for VMs wait a second before their repetition.

--- a/core/cell/executors.go
+++ b/core/cell/executors.go
@@ -64,6 +64,22 @@
 	x.renewedAt = 0
 }
 
+// regressSlack covers the way of an answer and the drift of an executor's clock.
+const regressSlack = 250 * time.Millisecond
+
+// readClock takes the clock from an answer; a clock that went back is that of a
+// new incarnation, whose birth the next renewal tells.
+func (k *Kernel) readClock(x *executor, clock int64) {
+	if clock <= 0 {
+		return
+	}
+	elapsed := k.now.Mono - x.clockAt
+	if x.clock > 0 && clock < x.clock+(elapsed*1000/clockDrift-regressSlack).Milliseconds() {
+		k.reborn(x, 0)
+	}
+	x.clock, x.clockAt = clock, k.now.Mono
+}
+
 // usable reports whether an executor may get new work.
 func (k *Kernel) usable(x *executor) bool {
 	return x.listed && x.fenced && !x.Draining && !x.cordoned && x.misses < suspectMisses &&
@@ -136,7 +152,7 @@
 	if x.misses > 0 {
 		return
 	}
-	for _, r := range x.runs {
+	for _, r := range sortedRuns(x) {
 		if r.state == runStopping && !r.stopped {
 			k.stopRun(r)
 		}
@@ -224,6 +240,11 @@
 			Address: x.Address, Executor: x.ID, Token: k.Token,
 			Acknowledged: x.ackSeq, WaitMs: wait, DeadlineMs: k.deadline(x),
 		}
+		if x.misses > 0 {
+			// A new incarnation numbers its ends anew: an old number would
+			// acknowledge ends that nobody has seen.
+			order.Acknowledged = 0
+		}
 		// A silent executor is not granted more, so that its runs lapse.
 		if x.misses > 0 || order.DeadlineMs <= x.granted {
 			order.DeadlineMs = x.granted
--- a/core/cell/kernel.go
+++ b/core/cell/kernel.go
@@ -79,12 +79,14 @@
 	// earlier owner had ordered for lately.
 	recent        map[string]time.Duration
 	orderedBefore map[string]bool
-	out           outbox
-	sweptAt       time.Duration
-	deposed       bool
-	effects       []Effect
-	lentAt        time.Duration
-	poolsLogged   time.Duration
+	// refusedVMs holds when an order for a VM was last refused.
+	refusedVMs  map[string]time.Duration
+	out         outbox
+	sweptAt     time.Duration
+	deposed     bool
+	effects     []Effect
+	lentAt      time.Duration
+	poolsLogged time.Duration
 	// lendable counts the VMs that are off and could be lent.
 	lendable int
 	// refusals holds when a refused job was first handed in.
@@ -100,7 +102,7 @@
 		pools: map[string]*pool{}, usage: map[string]fleet.Vector{},
 		evacuated: map[string]bool{}, depth: map[string]int{},
 		waves: map[int]*wave{}, vms: map[string]fleet.VM{},
-		ordered: map[string]vmOrder{}, recent: map[string]time.Duration{}, orderedBefore: map[string]bool{},
+		ordered: map[string]vmOrder{}, recent: map[string]time.Duration{}, orderedBefore: map[string]bool{}, refusedVMs: map[string]time.Duration{},
 		config: &fleet.Configuration{}, refusals: map[string]time.Duration{},
 		out: outbox{dirty: map[string]*jobState{}, records: map[string]Record{}},
 	}
--- a/core/cell/persist.go
+++ b/core/cell/persist.go
@@ -140,7 +140,7 @@
 			}
 			p.Tasks = append(p.Tasks, job.TaskProgress{
 				Occurrence: s.k, Step: s.index, Index: i,
-				Done: t.state == taskDone, Failures: t.failures, Run: t.endedRun, Saved: t.saved,
+				Done: t.state == taskDone, Failed: t.failed, Run: t.endedRun, Saved: t.saved,
 			})
 		}
 	}
--- a/core/cell/recover.go
+++ b/core/cell/recover.go
@@ -23,7 +23,7 @@
 			continue
 		}
 		t := &s.tasks[tp.Index]
-		t.ended, t.failures, t.saved = true, tp.Failures, tp.Saved
+		t.ended, t.failed, t.saved = true, tp.Failed, tp.Saved
 		t.run, t.endedRun = tp.Run, tp.Run
 		if tp.Done && t.state != taskDone {
 			t.state = taskDone
--- a/core/cell/runs.go
+++ b/core/cell/runs.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"time"
 
 	"jacinthwind/core/fleet"
@@ -54,9 +55,7 @@
 	if e.Answer.Outcome != fleet.OrderDone {
 		k.log("start_answered", "task", e.Task, "run", e.Run, "executor", x.ID, "outcome", e.Answer.Outcome)
 	}
-	if e.Answer.ClockMs > 0 {
-		x.clock, x.clockAt = e.Answer.ClockMs, k.now.Mono
-	}
+	k.readClock(x, e.Answer.ClockMs)
 	r.settled = k.now.Mono
 	switch e.Answer.Outcome {
 	case fleet.OrderDone:
@@ -113,6 +112,7 @@
 		k.depose("executor " + x.ID + " has seen a higher token")
 		return
 	}
+	k.readClock(x, e.Answer.ClockMs)
 	r := x.runs[runKey{e.Task, e.Run}]
 	if r == nil || r.state != runStopping {
 		return
@@ -153,8 +153,7 @@
 		return
 	}
 	t := &s.tasks[id.Index]
-	// An end that is known is listed again until it is acknowledged.
-	if !t.uncertain || t.state != taskWaiting || e.Run <= t.endedRun {
+	if !t.uncertain || t.state != taskWaiting || t.knows(e) {
 		return
 	}
 	t.state = taskPlaced
@@ -163,6 +162,15 @@
 	k.settleEnd(s, id.Index, nil, e)
 }
 
+// knows reports whether an end was taken before: ends are listed again until
+// they are acknowledged, and executors answer in any order.
+func (t *task) knows(e fleet.EndedRun) bool {
+	if e.How == fleet.EndFailed {
+		return slices.Contains(t.failed, e.Run)
+	}
+	return e.How != fleet.EndDone && e.Run <= t.endedRun
+}
+
 // settleEnd changes a task by the end of its current run; x is nil where an
 // earlier owner started it.
 func (k *Kernel) settleEnd(s *stepRun, index int, x *executor, e fleet.EndedRun) {
@@ -182,7 +190,7 @@
 	case e.How == fleet.EndDone && !s.Service:
 		k.taskDone(s, index, x)
 	case e.How == fleet.EndFailed:
-		k.taskFailed(s, index, x)
+		k.taskFailed(s, index, x, e.Run)
 	default:
 		k.waitAgain(s, index)
 	}
@@ -265,9 +273,13 @@
 	maxFailPause   = time.Second
 )
 
-func (k *Kernel) taskFailed(s *stepRun, index int, x *executor) {
+func (k *Kernel) taskFailed(s *stepRun, index int, x *executor, run int) {
 	t := &s.tasks[index]
-	t.failures++
+	if s.Service {
+		// Service tasks fail without limit; the last one sets the pause.
+		t.failed = nil
+	}
+	t.failed = append(t.failed, run)
 	if x != nil {
 		t.failedOn = x.ID
 		x.failures++
@@ -281,13 +293,13 @@
 	if q := s.job.queue; q != nil {
 		attempts = max(q.Attempts, 1)
 	}
-	if !s.Service && t.failures >= attempts {
+	if !s.Service && len(t.failed) >= attempts {
 		t.state = taskFailed
-		k.log("job_failed", "job", s.job.ID, "step", s.index, "task", index, "failures", t.failures)
+		k.log("job_failed", "job", s.job.ID, "step", s.index, "task", index, "failures", len(t.failed))
 		k.endJob(s.job, job.Failed)
 		return
 	}
-	pause := min(firstFailPause<<min(t.failures-1, 5), maxFailPause)
+	pause := min(firstFailPause<<min(len(t.failed)-1, 5), maxFailPause)
 	t.notBefore = k.now.Mono + pause
 	k.waitAgain(s, index)
 }
--- a/core/cell/schedule.go
+++ b/core/cell/schedule.go
@@ -130,7 +130,7 @@
 		x := k.choose(s, t, free)
 		if x == nil {
 			// Equal tasks need equal room; only a failed one is more choosy.
-			if t.failures == 0 {
+			if len(t.failed) == 0 {
 				return
 			}
 			continue
@@ -204,7 +204,7 @@
 
 func (k *Kernel) score(x *executor, s *stepRun, t *task) score {
 	var sc score
-	if t.failures > 0 {
+	if len(t.failed) > 0 {
 		// One more failure may end the job: only proven executors get it.
 		if t.failedOn == x.ID {
 			sc.distrust += 2
--- a/core/cell/state.go
+++ b/core/cell/state.go
@@ -77,9 +77,10 @@
 	// highest that has ended.
 	run      int
 	endedRun int
-	failures int
-	saved    string
-	ended    bool
+	// failed lists the runs that ended failed.
+	failed []int
+	saved  string
+	ended  bool
 	// uncertain tasks may run at an executor that has not answered this owner.
 	uncertain bool
 	failedOn  string
--- a/core/cell/wave.go
+++ b/core/cell/wave.go
@@ -160,11 +160,14 @@
 		}
 		vm, there := k.vms[name]
 		switch {
+		case vm.State == fleet.VMUpkeep:
+			down++
 		case w.done[name]:
+		case !k.mayOrder(name):
+			// An order of an earlier owner may be under way.
+			down++
 		case !there:
 			k.finishVM(w, name)
-		case vm.State == fleet.VMUpkeep:
-			down++
 		case k.ordered[name].pool != "":
 			moving++
 		default:
@@ -180,7 +183,7 @@
 	late := (k.now.Mono-w.asked).Seconds()*100 > w.Within*forceShare
 	for i, name := range open {
 		x := k.executors[k.vms[name].Executor]
-		if down < w.Cap && k.vms[name].State == fleet.VMUp && k.mayOrder(name) && k.emptied(x, late) {
+		if down < w.Cap && k.vms[name].State == fleet.VMUp && k.emptied(x, late) {
 			k.orderUpkeep(w, name)
 			down++
 			continue
@@ -279,8 +282,12 @@
 	k.order(name, o)
 }
 
-// mayOrder reports whether no earlier owner can have ordered for a VM lately.
+// mayOrder reports whether a VM was not refused just now, and no earlier owner
+// can have ordered for it lately.
 func (k *Kernel) mayOrder(vm string) bool {
+	if at, refused := k.refusedVMs[vm]; refused && k.now.Mono < at+vmOrderRetry {
+		return false
+	}
 	return !k.orderedBefore[vm] || k.now.Mono >= k.claimedAt+k.OrderLease
 }
 
@@ -393,6 +400,7 @@
 		}
 	case fleet.VMOrderBusy, fleet.VMOrderRefused:
 		k.endVMOrder(e.VM, x)
+		k.refusedVMs[e.VM] = k.now.Mono
 	case fleet.VMOrderFenced:
 		k.depose("an order for VM " + e.VM + " was fenced")
 	}
--- a/core/job/progress.go
+++ b/core/job/progress.go
@@ -15,8 +15,9 @@
 	Step       int  `json:"s,omitempty"`
 	Index      int  `json:"i,omitempty"`
 	Done       bool `json:"d,omitempty"`
-	// Failures counts the runs that ended failed.
-	Failures int `json:"f,omitempty"`
+	// Failed lists the runs that ended failed; ends are seen in any order and
+	// more than once.
+	Failed []int `json:"f,omitempty"`
 	// Run is the highest run that ended.
 	Run int `json:"r,omitempty"`
 	// Saved is the latest checkpoint, empty where there is none.
