--- a/core/cell/runs.go
+++ b/core/cell/runs.go
@@ -138,7 +138,8 @@
 	k.settleEnd(r.step, r.index, x, e)
 }
 
-// endedUnplaced takes the end of a run that an earlier owner started.
+// endedUnplaced takes the end of a run that an earlier owner started, or that
+// was given up; it counts unless the task was started again.
 func (k *Kernel) endedUnplaced(e fleet.EndedRun) {
 	id, err := job.ParseTaskID(e.Task)
 	if err != nil {
@@ -153,7 +154,7 @@
 		return
 	}
 	t := &s.tasks[id.Index]
-	if !t.uncertain || t.state != taskWaiting || t.knows(e) {
+	if t.state != taskWaiting || t.knows(e) {
 		return
 	}
 	t.state = taskPlaced
