--- a/commands/edge.go
+++ b/commands/edge.go
@@ -14,17 +14,13 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"jacinthwind/common/eventlog"
+	"jacinthwind/common/metrics"
+	"jacinthwind/core/event"
 	"jacinthwind/edge"
 	"jacinthwind/platform"
 )
 
-// Log buffering.
-const (
-	// logBuffer is what a pipe takes in one piece, so that lines stay whole.
-	logBuffer = 4 << 10
-	logFlush  = 200 * time.Millisecond
-)
-
 // Connections that are kept to each peer.
 const (
 	storeConns  = 8
@@ -42,11 +38,9 @@
 	if err != nil {
 		return err
 	}
-	out := &zapcore.BufferedWriteSyncer{WS: zapcore.AddSync(os.Stdout), Size: logBuffer, FlushInterval: logFlush}
-	defer func() { _ = out.Stop() }()
-	config := zap.NewProductionEncoderConfig()
-	config.EncodeTime = zapcore.EpochMillisTimeEncoder
-	log := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(config), out, zap.InfoLevel))
+	lines := eventlog.NewWriter(os.Stdout)
+	defer lines.Close()
+	log := eventlog.New(zapcore.AddSync(lines))
 	peers := platform.NewHTTPClient(peerConns, 0)
 	store := &platform.Store{Address: s.Platform.Address, Client: platform.NewHTTPClient(storeConns, 0)}
 	relay := &edge.Relay{Direct: store.Direct, Client: peers, Log: log}
@@ -64,6 +58,7 @@
 		VMs:     &platform.Machines{Address: s.CloudAPI.Address, Client: platform.NewHTTPClient(singleConns, singleConns)},
 		Advisor: &platform.Advisor{Address: s.Advice, Client: platform.NewHTTPClient(singleConns, singleConns)},
 		Codec:   platform.Codec{}, Relay: relay, PeerClient: peers, Log: log,
+		Figures: &edge.Figures{Metrics: metrics.New()},
 	})
 	go followSettings(ctx, s, log)
 	if err := process.Run(ctx); err != nil {
@@ -77,7 +72,7 @@
 
 // followSettings says when the settings file changes, by a signal or without;
 // a running process keeps what it was started with.
-func followSettings(ctx context.Context, present platform.Settings, log *zap.Logger) {
+func followSettings(ctx context.Context, present platform.Settings, log *eventlog.Log) {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	defer signal.Stop(hup)
@@ -95,12 +90,12 @@
 		next, err := platform.ReadSettings()
 		switch {
 		case err != nil:
-			log.Error("settings cannot be read", zap.Error(err))
+			log.Event(event.SettingsFault, zap.Error(err))
 		case !reflect.DeepEqual(next, present):
 			present = next
-			log.Info("settings changed, in force from the next start", zap.Bool("signalled", signalled))
+			log.Event(event.SettingsChanged, zap.Bool("signalled", signalled))
 		case signalled:
-			log.Info("settings read again, nothing changed")
+			log.Event(event.SettingsSame)
 		}
 	}
 }
--- /dev/null
+++ b/common/metrics/doc.go
@@ -0,0 +1,2 @@
+// Package metrics counts and times, and serves the figures as text.
+package metrics
--- a/node/metrics.go
+++ b/common/metrics/metrics.go
@@ -1,4 +1,4 @@
-package node
+package metrics
 
 import (
 	"io"
@@ -10,16 +10,19 @@
 	tallyprom "github.com/uber-go/tally/v4/prometheus"
 )
 
+// reportInterval is how often counters reach the text; each report costs
+// processor time.
 const reportInterval = time.Second
 
-// metrics are the counters of a node.
-type metrics struct {
-	scope    tally.Scope
+// Metrics are the counters and histograms of a process.
+type Metrics struct {
+	tally.Scope
 	closer   io.Closer
 	reporter tallyprom.Reporter
 }
 
-func newMetrics() *metrics {
+// New returns metrics without any figure.
+func New() *Metrics {
 	// Several nodes may live in one process, each with a registry of its own.
 	registry := prometheus.NewRegistry()
 	reporter := tallyprom.NewReporter(tallyprom.Options{Registerer: registry, Gatherer: registry})
@@ -28,12 +31,18 @@
 		CachedReporter: reporter,
 		Separator:      tallyprom.DefaultSeparator,
 	}, reportInterval)
-	return &metrics{scope: scope, closer: closer, reporter: reporter}
+	return &Metrics{Scope: scope, closer: closer, reporter: reporter}
 }
 
-// count counts the calls and the bytes of an interface.
-func (m *metrics) count(peer string, next http.Handler) http.Handler {
-	scope := m.scope.Tagged(map[string]string{"peer": peer})
+// Close ends the reports.
+func (m *Metrics) Close() error { return m.closer.Close() }
+
+// Handler serves the figures as text.
+func (m *Metrics) Handler() http.Handler { return m.reporter.HTTPHandler() }
+
+// Count counts the calls and the bytes of an interface to peer.
+func (m *Metrics) Count(peer string, next http.Handler) http.Handler {
+	scope := m.Tagged(map[string]string{"peer": peer})
 	calls := scope.Counter("calls")
 	received := scope.Counter("received_bytes")
 	sent := scope.Counter("sent_bytes")
--- a/core/cell/event.go
+++ b/core/cell/event.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"jacinthwind/core/event"
 	"jacinthwind/core/fleet"
 	"jacinthwind/core/job"
 )
@@ -148,7 +149,7 @@
 	Depose struct{ Reason string }
 	// Log is a line on a decision.
 	Log struct {
-		Event  string
+		Event  event.Number
 		Fields []any
 	}
 )
--- a/core/cell/executors.go
+++ b/core/cell/executors.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"jacinthwind/core/event"
 	"jacinthwind/core/fleet"
 	"jacinthwind/core/job"
 )
@@ -52,7 +53,7 @@
 
 // reborn forgets what an earlier incarnation ran.
 func (k *Kernel) reborn(x *executor, born int64) {
-	k.log("executor_reborn", "executor", x.ID, "born", born, "runs", len(x.runs))
+	k.log(event.ExecutorReborn, "executor", x.ID, "born", born, "runs", len(x.runs))
 	for _, r := range sortedRuns(x) {
 		if r.state != runStarting {
 			k.dropRun(r, "reborn")
@@ -141,7 +142,7 @@
 			k.dropRun(r, reason)
 		}
 		if !x.listed {
-			k.log("executor_removed", "executor", x.ID)
+			k.log(event.ExecutorRemoved, "executor", x.ID)
 			delete(k.executors, id)
 		}
 	}
@@ -161,7 +162,7 @@
 
 // dropRun gives up on a run that cannot be at work any more.
 func (k *Kernel) dropRun(r *run, reason string) {
-	k.log("run_lost", "task", r.name, "run", r.number, "executor", r.executor.ID, "reason", reason)
+	k.log(event.RunLost, "task", r.name, "run", r.number, "executor", r.executor.ID, "reason", reason)
 	k.release(r)
 	if t := r.task(); t.current == r {
 		t.current = nil
@@ -281,7 +282,7 @@
 	default:
 		x.misses++
 		if x.misses == 1 {
-			k.log("executor_silent", "executor", x.ID, "outcome", s.Outcome, "runs", len(x.runs))
+			k.log(event.ExecutorSilent, "executor", x.ID, "outcome", s.Outcome, "runs", len(x.runs))
 		}
 		return
 	}
@@ -292,7 +293,7 @@
 		x.born = s.Born
 	}
 	if x.misses > 0 {
-		k.log("executor_answers", "executor", x.ID, "misses", x.misses)
+		k.log(event.ExecutorAnswers, "executor", x.ID, "misses", x.misses)
 	}
 	x.misses = 0
 	first := !x.fenced
@@ -382,14 +383,14 @@
 	r := k.place(x, s, id.Index, a.Run)
 	r.state, r.settled, r.began = runActive, k.now.Mono, k.now.Mono
 	k.markStarted(j)
-	k.log("run_adopted", "task", a.Task, "run", a.Run, "executor", x.ID)
+	k.log(event.RunAdopted, "task", a.Task, "run", a.Run, "executor", x.ID)
 	return r
 }
 
 // endUnwanted stops a run that should not be. Until its end it holds its room,
 // which nothing else may take.
 func (k *Kernel) endUnwanted(x *executor, a fleet.ActiveRun) *run {
-	k.log("run_not_wanted", "task", a.Task, "run", a.Run, "executor", x.ID)
+	k.log(event.RunNotWanted, "task", a.Task, "run", a.Run, "executor", x.ID)
 	id, err := job.ParseTaskID(a.Task)
 	j := k.jobs[id.Job]
 	if err != nil || j == nil || id.Step >= len(j.Steps) {
--- a/core/cell/kernel.go
+++ b/core/cell/kernel.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"jacinthwind/core/event"
 	"jacinthwind/core/fleet"
 )
 
@@ -168,8 +169,8 @@
 
 func (k *Kernel) emit(e Effect) { k.effects = append(k.effects, e) }
 
-func (k *Kernel) log(event string, fields ...any) {
-	k.emit(Log{Event: event, Fields: fields})
+func (k *Kernel) log(n event.Number, fields ...any) {
+	k.emit(Log{Event: n, Fields: fields})
 }
 
 func (k *Kernel) depose(reason string) {
--- a/core/cell/lend.go
+++ b/core/cell/lend.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"jacinthwind/core/event"
 	"jacinthwind/core/fleet"
 	"jacinthwind/core/lending"
 )
@@ -36,7 +37,7 @@
 		k.poolsLogged = k.now.Mono
 		for i := range pools {
 			p := &pools[i]
-			k.log("pool_planned", "pool", p.Name, "vms", p.VMs, "idle", len(p.Idle), "cores", int(p.Cores), "target", p.Target(cores))
+			k.log(event.PoolPlanned, "pool", p.Name, "vms", p.VMs, "idle", len(p.Idle), "cores", int(p.Cores), "target", p.Target(cores))
 		}
 	}
 	k.lendable = 0
@@ -163,6 +164,6 @@
 	if x != nil {
 		x.cordoned = true
 	}
-	k.log("move_ordered", "vm", vm, "from", from.Pool, "to", pool)
+	k.log(event.MoveOrdered, "vm", vm, "from", from.Pool, "to", pool)
 	k.order(vm, vmOrder{pool: pool, sent: k.now.Mono, executor: from.Executor})
 }
--- a/core/cell/persist.go
+++ b/core/cell/persist.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"jacinthwind/core/event"
 	"jacinthwind/core/job"
 )
 
@@ -107,7 +108,7 @@
 func (k *Kernel) jobStored(j *jobState) {
 	if !j.stored {
 		j.stored = true
-		k.log("job_accepted", "job", j.ID, "queue", j.Queue, "team", j.Team)
+		k.log(event.JobAccepted, "job", j.ID, "queue", j.Queue, "team", j.Team)
 		k.begin(j)
 	}
 	for _, c := range j.calls {
--- a/core/cell/recover.go
+++ b/core/cell/recover.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"jacinthwind/core/event"
 	"jacinthwind/core/fleet"
 	"jacinthwind/core/job"
 )
@@ -78,7 +79,7 @@
 			}
 		}
 	}
-	k.log("recovery_ended", "took_ms", (k.now.Mono-k.claimedAt)/time.Millisecond, "waiting_tasks", uncertain, "executors", len(k.executors))
+	k.log(event.RecoveryEnded, "took_ms", (k.now.Mono-k.claimedAt)/time.Millisecond, "waiting_tasks", uncertain, "executors", len(k.executors))
 }
 
 // allFenced reports whether every executor that may be alive has answered. The
--- a/core/cell/runs.go
+++ b/core/cell/runs.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"jacinthwind/core/event"
 	"jacinthwind/core/fleet"
 	"jacinthwind/core/job"
 )
@@ -38,7 +39,7 @@
 		DeadlineMs: deadline, Token: k.Token, Checkpoint: s.tasks[index].saved,
 		Ticket: s.tickets[x.ID],
 	}})
-	k.log("run_started", "task", r.name, "run", number, "executor", x.ID, "waited_ms", (k.now.Mono - s.readyAt).Milliseconds())
+	k.log(event.RunStarted, "task", r.name, "run", number, "executor", x.ID, "waited_ms", (k.now.Mono - s.readyAt).Milliseconds())
 	k.markStarted(s.job)
 }
 
@@ -53,7 +54,7 @@
 		return
 	}
 	if e.Answer.Outcome != fleet.OrderDone {
-		k.log("start_answered", "task", e.Task, "run", e.Run, "executor", x.ID, "outcome", e.Answer.Outcome)
+		k.log(event.StartAnswered, "task", e.Task, "run", e.Run, "executor", x.ID, "outcome", e.Answer.Outcome)
 	}
 	k.readClock(x, e.Answer.ClockMs)
 	r.settled = k.now.Mono
@@ -181,7 +182,7 @@
 	if e.Checkpoint != "" {
 		t.saved = e.Checkpoint
 	}
-	k.log("run_ended", "task", e.Task, "run", e.Run, "how", e.How)
+	k.log(event.RunEnded, "task", e.Task, "run", e.Run, "how", e.How)
 	j := s.job
 	if j.state.Ended() {
 		t.state = taskDone
@@ -215,7 +216,7 @@
 	}
 	j.open--
 	if j.open == 0 {
-		k.log("job_succeeded", "job", j.ID, "took_ms", (k.now.Mono - j.arrived).Milliseconds(), "objective_ms", (j.due - j.arrived).Milliseconds())
+		k.log(event.JobSucceeded, "job", j.ID, "took_ms", (k.now.Mono - j.arrived).Milliseconds(), "objective_ms", (j.due - j.arrived).Milliseconds())
 		j.state, j.endedMs = job.Succeeded, k.now.UnixMs
 		delete(k.pool(j.Pool).jobs, j.ID)
 		return
@@ -287,7 +288,7 @@
 		x.failedAt = k.now.Mono
 		if x.failures >= failStreak {
 			x.avoid = k.now.Mono + avoidFor
-			k.log("executor_avoided", "executor", x.ID, "failures", x.failures)
+			k.log(event.ExecutorAvoided, "executor", x.ID, "failures", x.failures)
 		}
 	}
 	attempts := 1
@@ -296,7 +297,7 @@
 	}
 	if !s.Service && len(t.failed) >= attempts {
 		t.state = taskFailed
-		k.log("job_failed", "job", s.job.ID, "step", s.index, "task", index, "failures", len(t.failed))
+		k.log(event.JobFailed, "job", s.job.ID, "step", s.index, "task", index, "failures", len(t.failed))
 		k.endJob(s.job, job.Failed)
 		return
 	}
--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"jacinthwind/core/event"
 	"jacinthwind/core/fleet"
 	"jacinthwind/core/job"
 )
@@ -42,7 +43,7 @@
 	e.Job.AcceptedMs -= (k.now.Mono - first).Milliseconds()
 	if a := k.admit(e.Job, queue, first); a.Verdict != Accepted {
 		k.refusals[e.Job.ID] = first
-		k.log("job_refused", "job", e.Job.ID, "queue", queue.Name, "team", e.Job.Team, "reason", a.Reason, "retry_after_ms", a.RetryAfter.Milliseconds())
+		k.log(event.JobRefused, "job", e.Job.ID, "queue", queue.Name, "team", e.Job.Team, "reason", a.Reason, "retry_after_ms", a.RetryAfter.Milliseconds())
 		k.emit(Reply{e.Call, a})
 		return
 	}
@@ -240,7 +241,7 @@
 		return
 	}
 	j.cancels = append(j.cancels, e.Call)
-	k.log("job_cancelled", "job", j.ID)
+	k.log(event.JobCancelled, "job", j.ID)
 	k.endJob(j, job.Cancelled)
 }
 
--- a/core/cell/wave.go
+++ b/core/cell/wave.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"jacinthwind/core/event"
 	"jacinthwind/core/fleet"
 )
 
@@ -64,7 +65,7 @@
 			continue
 		}
 		k.waves[w.Number] = &wave{Wave: w, asked: k.now.Mono, done: map[string]bool{}}
-		k.log("wave_asked", "wave", w.Number, "vms", len(w.VMs), "cap", w.Cap, "within_s", w.Within)
+		k.log(event.WaveAsked, "wave", w.Number, "vms", len(w.VMs), "cap", w.Cap, "within_s", w.Within)
 	}
 }
 
@@ -176,7 +177,7 @@
 	}
 	if len(open) == 0 && down == 0 && moving == 0 {
 		k.reportWave(w, waveSucceeded)
-		k.log("wave_succeeded", "wave", w.Number, "took_ms", (k.now.Mono - w.asked).Milliseconds())
+		k.log(event.WaveSucceeded, "wave", w.Number, "took_ms", (k.now.Mono - w.asked).Milliseconds())
 		return
 	}
 	slices.SortStableFunc(open, func(a, b string) int { return k.burden(a) - k.burden(b) })
@@ -246,7 +247,7 @@
 func (k *Kernel) vacate(x *executor) {
 	for _, r := range sortedRuns(x) {
 		if r.step.Service && (r.state == runActive) && k.mayDisrupt(r) {
-			k.log("run_vacated", "task", r.name, "run", r.number, "executor", x.ID)
+			k.log(event.RunVacated, "task", r.name, "run", r.number, "executor", x.ID)
 			k.stopRun(r)
 		}
 	}
@@ -278,7 +279,7 @@
 	if x := k.executors[o.executor]; x != nil {
 		x.cordoned = true
 	}
-	k.log("upkeep_ordered", "vm", name, "wave", w.Number, "executor", o.executor)
+	k.log(event.UpkeepOrdered, "vm", name, "wave", w.Number, "executor", o.executor)
 	k.order(name, o)
 }
 
@@ -377,7 +378,7 @@
 	if !ok {
 		return
 	}
-	k.log("vm_order_answered", "vm", e.VM, "outcome", e.Outcome)
+	k.log(event.VMOrderAnswered, "vm", e.VM, "outcome", e.Outcome)
 	w := k.waves[o.wave]
 	x := k.executors[o.executor]
 	switch e.Outcome {
--- a/edge/front.go
+++ b/edge/front.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"jacinthwind/core/cell"
+	"jacinthwind/core/event"
 	"jacinthwind/core/fleet"
 	"jacinthwind/core/job"
 )
@@ -30,7 +31,30 @@
 	headerDeadline = "X-Deadline-Ms"
 )
 
-// serveFront answers callers.
+// statusWriter remembers the status of an answer.
+type statusWriter struct {
+	http.ResponseWriter
+	status int
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *statusWriter) WriteHeader(status int) {
+	w.status = status
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Unwrap lets http.ResponseController reach the writer below.
+func (w *statusWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// serveCaller answers callers and times the answers.
+func (p *Process) serveCaller(w http.ResponseWriter, r *http.Request) {
+	began := time.Now()
+	sw := &statusWriter{ResponseWriter: w, status: http.StatusOK}
+	p.serveFront(sw, r)
+	p.figures.observe("caller", strconv.Itoa(sw.status), time.Since(began))
+}
+
+// serveFront answers a caller.
 func (p *Process) serveFront(w http.ResponseWriter, r *http.Request) {
 	if p.stopping.Load() {
 		w.Header().Set("Connection", "close")
@@ -131,10 +155,10 @@
 	a, err := p.askOwner(ctx, ownerCall{Kind: callSubmit, Job: j})
 	switch {
 	case errors.Is(err, errNotSent):
-		p.log.Info("submission refused", zap.String("job", id), zap.String("reason", "no owner was reached"))
+		p.log.Event(event.SubmissionRefused, zap.String("job", id), zap.String("reason", "no owner was reached"))
 		p.refuse(w, http.StatusServiceUnavailable, minRetry, "no owner was reached")
 	case err != nil:
-		p.log.Warn("submission uncertain", zap.String("job", id), zap.Error(err))
+		p.log.Event(event.SubmissionUncertain, zap.String("job", id), zap.Error(err))
 		http.Error(w, "it is not known whether the job was accepted", http.StatusGatewayTimeout)
 	case a.Verdict == cell.Accepted:
 		w.WriteHeader(http.StatusOK)
@@ -154,7 +178,7 @@
 	}
 	state, _, err := p.stateFromStore(ctx, id)
 	if err != nil {
-		p.log.Warn("state unknown", zap.String("job", id), zap.Error(err))
+		p.log.Event(event.StateUnknown, zap.String("job", id), zap.Error(err))
 		p.refuse(w, http.StatusServiceUnavailable, minRetry, "neither the owner nor the store answers")
 		return
 	}
@@ -180,7 +204,7 @@
 	a, err := p.askOwner(ctx, ownerCall{Kind: callCancel, Name: id})
 	switch {
 	case err != nil:
-		p.log.Warn("cancel uncertain", zap.String("job", id), zap.Error(err))
+		p.log.Event(event.CancelUncertain, zap.String("job", id), zap.Error(err))
 		http.Error(w, "it is not known whether the job was cancelled", http.StatusGatewayTimeout)
 	case a.Verdict == cell.Ended:
 		w.WriteHeader(http.StatusOK)
--- a/edge/host.go
+++ b/edge/host.go
@@ -9,8 +9,10 @@
 	"github.com/asynkron/protoactor-go/actor"
 	"go.uber.org/zap"
 
+	"jacinthwind/common/eventlog"
 	"jacinthwind/core"
 	"jacinthwind/core/cell"
+	"jacinthwind/core/event"
 )
 
 // Host times.
@@ -39,7 +41,8 @@
 	codec   core.Codec
 	store   core.MetadataStore
 	writer  *writer
-	log     *zap.Logger
+	log     *eventlog.Log
+	figures *Figures
 	// deposed is called once when a later owner was met.
 	deposed func(reason string)
 
@@ -174,7 +177,7 @@
 	case cell.Write:
 		h.writes <- e
 	case cell.Depose:
-		h.log.Warn("deposed", zap.String("reason", e.Reason))
+		h.log.Event(event.OwnerDeposed, zap.String("reason", e.Reason))
 		go h.deposed(e.Reason)
 	default:
 		h.order(effect)
@@ -187,7 +190,7 @@
 		name, _ := e.Fields[i].(string)
 		fields = append(fields, zap.Any(name, e.Fields[i+1]))
 	}
-	h.log.Info(e.Event, fields...)
+	h.log.Event(e.Event, fields...)
 }
 
 // order makes a call outside of the actor and reports its answer to the kernel.
@@ -199,7 +202,9 @@
 	case cell.Start:
 		h.call(orderWithin, func(ctx context.Context) cell.Event {
 			sent := mono()
-			return cell.Started{Executor: e.Order.Executor, Task: e.Order.Task, Run: e.Order.Run, Sent: sent, Answer: h.workers.Start(ctx, e.Order)}
+			answer := h.workers.Start(ctx, e.Order)
+			h.figures.observe("executor", string(answer.Outcome), mono()-sent)
+			return cell.Started{Executor: e.Order.Executor, Task: e.Order.Task, Run: e.Order.Run, Sent: sent, Answer: answer}
 		})
 	case cell.Stop:
 		h.call(orderWithin, func(ctx context.Context) cell.Event {
@@ -231,7 +236,7 @@
 			sent := mono()
 			advice, err := h.advisor.Advise(ctx, e.Step, e.Executors)
 			if err != nil {
-				h.log.Warn("advice failed", zap.String("step", e.Step), zap.Error(err))
+				h.log.Event(event.AdviceFailed, zap.String("step", e.Step), zap.Error(err))
 			}
 			return cell.Advised{Step: e.Step, Asked: e.Executors, Sent: sent, Advice: advice}
 		})
@@ -241,7 +246,7 @@
 func (h *host) listVMs(ctx context.Context) cell.Event {
 	vms, err := h.vms.List(ctx)
 	if err != nil {
-		h.log.Warn("list of VMs failed", zap.Error(err))
+		h.log.Event(event.VMListFailed, zap.Error(err))
 		return cell.Tick{}
 	}
 	return cell.VMsListed{VMs: vms}
@@ -255,6 +260,14 @@
 	})
 }
 
+// outcomeOf names the outcome of a call for the figures.
+func outcomeOf(err error) string {
+	if err != nil {
+		return "error"
+	}
+	return "done"
+}
+
 // runWriter stores one write after the other.
 func (h *host) runWriter() {
 	for {
@@ -262,7 +275,10 @@
 		case <-h.ctx.Done():
 			return
 		case e := <-h.writes:
-			if err := h.writer.write(h.ctx, e); err != nil {
+			began := time.Now()
+			err := h.writer.write(h.ctx, e)
+			h.figures.observe("store", outcomeOf(err), time.Since(began))
+			if err != nil {
 				if errors.Is(err, errDeposed) {
 					go h.deposed(err.Error())
 				}
@@ -278,7 +294,7 @@
 	f := follower{store: h.store, prefix: h.codec.ExecutorPrefix(), changed: func(items map[string]core.Item) {
 		executors, findings := h.codec.Executors(items)
 		for _, err := range findings {
-			h.log.Warn("executor entry skipped", zap.Error(err))
+			h.log.Event(event.ExecutorEntrySkipped, zap.Error(err))
 		}
 		h.send(cell.Listed{Executors: executors})
 	}}
--- a/edge/owner.go
+++ b/edge/owner.go
@@ -12,8 +12,10 @@
 	"github.com/asynkron/protoactor-go/actor"
 	"go.uber.org/zap"
 
+	"jacinthwind/common/eventlog"
 	"jacinthwind/core"
 	"jacinthwind/core/cell"
+	"jacinthwind/core/event"
 )
 
 // Ownership times.
@@ -48,7 +50,8 @@
 	vms      core.Machines
 	advisor  core.Advisor
 	settings cell.Settings
-	log      *zap.Logger
+	log      *eventlog.Log
+	figures  *Figures
 	system   *actor.ActorSystem
 
 	mu sync.Mutex
@@ -69,7 +72,7 @@
 	var r ownerRecord
 	if len(item.Value) > 0 {
 		if err := json.Unmarshal(item.Value, &r); err != nil {
-			o.log.Error("owner record cannot be read", zap.Error(err))
+			o.log.Event(event.OwnerRecordFault, zap.Error(err))
 		}
 	}
 	o.mu.Lock()
@@ -79,7 +82,7 @@
 	o.changed = make(chan struct{})
 	o.mu.Unlock()
 	if moved {
-		o.log.Info("owner seen", zap.String("owner", r.Node), zap.String("incarnation", r.Incarnation), zap.Int64("revision", item.Revision))
+		o.log.Event(event.OwnerSeen, zap.String("owner", r.Node), zap.String("incarnation", r.Incarnation), zap.Int64("revision", item.Revision))
 	}
 }
 
@@ -131,7 +134,7 @@
 			continue
 		}
 		if err := o.own(ctx, revision); err != nil && ctx.Err() == nil {
-			o.log.Warn("claim failed", zap.Error(err))
+			o.log.Event(event.ClaimFailed, zap.Error(err))
 			pause(ctx, claimCheck)
 		}
 	}
@@ -174,7 +177,7 @@
 	k.Step(now(), cell.LeaseExtended{Until: until})
 	h := &host{
 		kernel: k, node: o.self.Node, workers: o.workers, vms: o.vms, advisor: o.advisor,
-		codec: o.codec, store: o.store, log: o.log,
+		codec: o.codec, store: o.store, log: o.log, figures: o.figures,
 		writer:  &writer{store: o.store, codec: o.codec, log: o.log, sequence: claim.sequence, revision: claim.token},
 		deposed: o.lose,
 	}
@@ -185,13 +188,13 @@
 	losing := o.losing
 	o.mu.Unlock()
 	tellOperator(h, o.operatorState())
-	o.log.Info("ownership begun", zap.Int64("token", claim.token), zap.Int64("generation", claim.sequence.Generation), zap.Int64("took_ms", (mono()-began).Milliseconds()))
+	o.log.Event(event.OwnershipBegun, zap.Int64("token", claim.token), zap.Int64("generation", claim.sequence.Generation), zap.Int64("took_ms", (mono()-began).Milliseconds()))
 	reason := o.keep(ctx, h, claim, losing)
 	o.mu.Lock()
 	o.host = nil
 	o.mu.Unlock()
 	h.stop()
-	o.log.Info("ownership ended", zap.Int64("token", claim.token), zap.String("reason", reason))
+	o.log.Event(event.OwnershipEnded, zap.Int64("token", claim.token), zap.String("reason", reason))
 	// A lease that is left behind by a deposed owner ends by itself.
 	end, stop := context.WithTimeout(context.WithoutCancel(ctx), directWithin)
 	defer stop()
@@ -303,7 +306,7 @@
 		case errors.Is(err, core.ErrNotFound):
 			return "the lease has ended"
 		case ctx.Err() == nil:
-			o.log.Warn("lease not renewed", zap.Error(err))
+			o.log.Event(event.LeaseNotRenewed, zap.Error(err))
 		}
 		if r, _ := o.present(); r.Incarnation != "" && r.Incarnation != o.self.Incarnation && r.Generation > c.sequence.Generation {
 			return "node " + r.Node + " owns the pools"
--- a/edge/peer.go
+++ b/edge/peer.go
@@ -97,7 +97,10 @@
 		return p.handleOwner(ctx, q)
 	}
 	// While the VM of the owner is gone a dial fails and nothing was sent.
-	return jsonhttp.Call[ownerAnswer](ctx, p.peerClient, http.MethodPost, "http://"+record.Address+ownerPath, q)
+	began := time.Now()
+	a, err := jsonhttp.Call[ownerAnswer](ctx, p.peerClient, http.MethodPost, "http://"+record.Address+ownerPath, q)
+	p.figures.observe("owner", outcomeOf(err), time.Since(began))
+	return a, err
 }
 
 // askOwner repeats a call until the owner answers or the time is up. Repeating
--- a/edge/process.go
+++ b/edge/process.go
@@ -16,9 +16,11 @@
 	"github.com/oklog/run"
 	"go.uber.org/zap"
 
+	"jacinthwind/common/eventlog"
 	"jacinthwind/common/jsonhttp"
 	"jacinthwind/core"
 	"jacinthwind/core/cell"
+	"jacinthwind/core/event"
 	"jacinthwind/core/fleet"
 )
 
@@ -51,7 +53,9 @@
 	Relay   *Relay
 	// PeerClient calls other nodes.
 	PeerClient *http.Client
-	Log        *zap.Logger
+	// Figures may be nil.
+	Figures *Figures
+	Log        *eventlog.Log
 }
 
 // Process is one entry VM's process.
@@ -61,8 +65,9 @@
 	store       core.MetadataStore
 	codec       core.Codec
 	relay       *Relay
+	figures     *Figures
 	peerClient  *http.Client
-	log         *zap.Logger
+	log         *eventlog.Log
 	owner       *owner
 
 	configuration atomic.Pointer[fleet.Configuration]
@@ -75,12 +80,12 @@
 func New(s Settings, d Dependencies) *Process {
 	p := &Process{
 		settings: s, incarnation: uuid.NewString(), store: d.Store, codec: d.Codec,
-		relay: d.Relay, peerClient: d.PeerClient, log: d.Log,
+		relay: d.Relay, peerClient: d.PeerClient, log: d.Log, figures: d.Figures,
 	}
 	p.owner = &owner{
 		self:  ownerRecord{Node: s.Node, Incarnation: p.incarnation, Address: s.Peer},
 		store: d.Store, codec: d.Codec, workers: d.Workers, vms: d.VMs, advisor: d.Advisor,
-		settings: s.Bounds, log: d.Log, changed: make(chan struct{}),
+		settings: s.Bounds, log: d.Log, figures: d.Figures, changed: make(chan struct{}),
 		system: actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger {
 			return slog.New(slog.DiscardHandler)
 		})),
@@ -127,9 +132,9 @@
 		}
 		return nil
 	}, func(error) { close(ended); stopWork() })
-	p.log.Info("started", zap.String("node", p.settings.Node), zap.String("incarnation", p.incarnation), zap.String("front", p.settings.Front), zap.String("peer", p.settings.Peer))
+	p.log.Event(event.ProcessStarted, zap.String("node", p.settings.Node), zap.String("incarnation", p.incarnation), zap.String("front", p.settings.Front), zap.String("peer", p.settings.Peer))
 	err = group.Run()
-	p.log.Info("stopped", zap.Error(err))
+	p.log.Event(event.ProcessStopped, zap.Error(err))
 	return err
 }
 
@@ -145,13 +150,15 @@
 	if p.relay != nil {
 		peer.HandleFunc("POST "+relayPath, p.relay.serve)
 	}
+	peer.Handle("GET /metrics", p.figures.handler())
+	peer.HandleFunc("GET "+dumpPath, p.serveDump)
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET /readyz", p.serveReady)
 	var all []listening
 	for _, l := range []struct {
 		address string
 		handler http.Handler
-	}{{p.settings.Front, http.HandlerFunc(p.serveFront)}, {p.settings.Ready, ready}, {p.settings.Peer, peer}} {
+	}{{p.settings.Front, http.HandlerFunc(p.serveCaller)}, {p.settings.Ready, ready}, {p.settings.Peer, peer}} {
 		listener, err := net.Listen("tcp", l.address)
 		if err != nil {
 			return nil, err
@@ -161,6 +168,42 @@
 	return all, nil
 }
 
+// dumpPath serves the state dump.
+const dumpPath = "/dump"
+
+// ProcessDump is the state of a process for people.
+type ProcessDump struct {
+	Node          string `json:"node"`
+	Incarnation   string `json:"incarnation"`
+	Owner         string `json:"owner"`
+	Configuration int64  `json:"configuration"`
+	// StoreMs is how long ago the store answered, in milliseconds.
+	StoreMs int64    `json:"store_ms"`
+	Peers   []string `json:"peers"`
+	// Cell is what the owner knows, nil on other nodes.
+	Cell *cell.Dump `json:"cell,omitempty"`
+}
+
+// serveDump answers with the state of this process.
+func (p *Process) serveDump(w http.ResponseWriter, r *http.Request) {
+	record, _ := p.owner.present()
+	d := ProcessDump{Node: p.settings.Node, Incarnation: p.incarnation, Owner: record.Node, Peers: p.peerList()}
+	if c := p.configuration.Load(); c != nil {
+		d.Configuration = c.Version
+	}
+	if p.relay != nil {
+		d.StoreMs = (mono() - time.Duration(p.relay.answered.Load())).Milliseconds()
+	}
+	if h := p.owner.local(); h != nil {
+		found := make(chan cell.Dump, 1)
+		if h.ask(r.Context(), func(k *cell.Kernel) { found <- k.Dump(now()) }) == nil {
+			dump := <-found
+			d.Cell = &dump
+		}
+	}
+	jsonhttp.Write(w, http.StatusOK, d)
+}
+
 // serveReady tells the balancer whether new connections may come.
 func (p *Process) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if p.stopping.Load() || p.configuration.Load() == nil {
@@ -173,7 +216,7 @@
 // stop leaves the rotation, hands the pools over, and ends the connections once
 // the requests that were read are answered.
 func (p *Process) stop(servers []listening) {
-	p.log.Info("stopping")
+	p.log.Event(event.ProcessStopping)
 	p.stopping.Store(true)
 	p.owner.handOver()
 	time.Sleep(leaveRotation)
@@ -181,7 +224,7 @@
 	defer cancel()
 	for _, s := range servers {
 		if err := s.server.Shutdown(ctx); err != nil {
-			p.log.Warn("connections left at the end", zap.Error(err))
+			p.log.Event(event.ConnectionsLeft, zap.Error(err))
 		}
 	}
 }
@@ -190,8 +233,8 @@
 func (p *Process) followOperator(ctx context.Context) {
 	f := follower{
 		store: p.store, prefix: p.codec.OperatorPrefix(), changed: p.operatorChanged,
-		lost:     func(err error) { p.log.Warn("configuration not followed", zap.Error(err)) },
-		regained: func() { p.log.Info("configuration followed again") },
+		lost:     func(err error) { p.log.Event(event.ConfigurationLost, zap.Error(err)) },
+		regained: func() { p.log.Event(event.ConfigurationRegained) },
 	}
 	f.run(ctx)
 }
@@ -199,12 +242,12 @@
 func (p *Process) operatorChanged(items map[string]core.Item) {
 	state, findings := p.codec.Operator(items)
 	for _, err := range findings {
-		p.log.Error("operator's entry skipped", zap.Error(err))
+		p.log.Event(event.OperatorEntrySkipped, zap.Error(err))
 	}
 	present := p.configuration.Load()
 	if c := state.Configuration; c != nil && (present == nil || c.Version > present.Version) {
 		p.configuration.Store(c)
-		p.log.Info("configuration in force", zap.Int64("version", c.Version), zap.Int("queues", len(c.Queues)), zap.Int("teams", len(c.Teams)))
+		p.log.Event(event.ConfigurationInForce, zap.Int64("version", c.Version), zap.Int("queues", len(c.Queues)), zap.Int("teams", len(c.Teams)))
 	} else {
 		state.Configuration = present
 	}
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -14,7 +14,9 @@
 
 	"go.uber.org/zap"
 
+	"jacinthwind/common/eventlog"
 	"jacinthwind/core"
+	"jacinthwind/core/event"
 )
 
 // Relay times.
@@ -35,7 +37,7 @@
 	Direct func(ctx context.Context, c core.StoreCall) (int, []byte, error)
 	// Client calls peers.
 	Client *http.Client
-	Log    *zap.Logger
+	Log    *eventlog.Log
 	peers  func() []string
 
 	mu      sync.Mutex
@@ -107,9 +109,9 @@
 	r.mu.Unlock()
 	switch {
 	case changed && broken:
-		r.Log.Warn("store lost", zap.Error(err))
+		r.Log.Event(event.StoreLost, zap.Error(err))
 	case changed:
-		r.Log.Info("store regained")
+		r.Log.Event(event.StoreRegained)
 	}
 }
 
--- a/edge/writer.go
+++ b/edge/writer.go
@@ -8,8 +8,10 @@
 
 	"go.uber.org/zap"
 
+	"jacinthwind/common/eventlog"
 	"jacinthwind/core"
 	"jacinthwind/core/cell"
+	"jacinthwind/core/event"
 )
 
 // Writer limits.
@@ -29,7 +31,7 @@
 type writer struct {
 	store core.MetadataStore
 	codec core.Codec
-	log   *zap.Logger
+	log   *eventlog.Log
 	// sequence and revision are the last write that is known to be done.
 	sequence sequenceRecord
 	revision int64
@@ -90,7 +92,7 @@
 		case errors.Is(err, errDeposed):
 			return err
 		}
-		w.log.Warn("write not answered", zap.Int64("number", next.Number), zap.Error(err))
+		w.log.Event(event.WriteUnanswered, zap.Int64("number", next.Number), zap.Error(err))
 		pause(ctx, commitRetry)
 	}
 	return ctx.Err()
--- a/node/node.go
+++ b/node/node.go
@@ -15,6 +15,7 @@
 	"github.com/oklog/run"
 	"go.uber.org/zap"
 
+	"jacinthwind/common/metrics"
 	"jacinthwind/core"
 	"jacinthwind/core/config"
 	"jacinthwind/core/event"
@@ -64,7 +65,7 @@
 	executor  core.Executor
 	peers     *peer.Client
 	log       eventLog
-	metrics   *metrics
+	metrics   *metrics.Metrics
 
 	callerListener   net.Listener
 	peerListener     net.Listener
@@ -121,7 +122,7 @@
 	}
 	n.contact = &contactStore{Store: n.store, changed: n.storeChanged}
 	n.store = n.contact
-	n.metrics = newMetrics()
+	n.metrics = metrics.New()
 	return n, n.listen(d)
 }
 
@@ -179,7 +180,7 @@
 	n.tasks.Wait()
 	n.system.Shutdown()
 	// The reporter keeps the values in memory, so that closing cannot fail.
-	_ = n.metrics.closer.Close()
+	_ = n.metrics.Close()
 	n.peers.HTTP.CloseIdleConnections()
 	n.log.Event(event.NodeStopped, n.settings.Name, "")
 	if errors.Is(err, context.Canceled) || errors.Is(err, http.ErrServerClosed) {
@@ -218,7 +219,7 @@
 
 func (n *Node) callerHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("/v1/", n.metrics.count("caller", caller.Handler(n, caller.Limits{
+	mux.Handle("/v1/", n.metrics.Count("caller", caller.Handler(n, caller.Limits{
 		MaxBody:         n.settings.MaxBodyBytes,
 		MaxHeld:         n.settings.MaxHeldBytes,
 		DefaultDeadline: milliseconds(n.settings.DefaultDeadlineMS),
--- a/node/plugins.go
+++ b/node/plugins.go
@@ -8,8 +8,6 @@
 	"github.com/asynkron/protoactor-go/actor"
 
 	"jacinthwind/core"
-
-	// The plug-ins register themselves.
 	_ "jacinthwind/core/order"
 	_ "jacinthwind/core/placement"
 	_ "jacinthwind/io/store"
--- a/node/status.go
+++ b/node/status.go
@@ -101,5 +101,5 @@
 
 // Metrics serves the node's metrics.
 func (n *Node) Metrics() http.Handler {
-	return n.metrics.reporter.HTTPHandler()
+	return n.metrics.Handler()
 }
