--- a/commands/edge.go
+++ b/commands/edge.go
@@ -61,12 +61,24 @@
 		Figures: &edge.Figures{Metrics: metrics.New()},
 	})
 	go followSettings(ctx, s, log)
+	go endAtSecondSignal(ctx, lines)
 	if err := process.Run(ctx); err != nil {
 		return fmt.Errorf("edge: %w", err)
 	}
 	return nil
 }
 
+// endAtSecondSignal ends a process that stops gracefully at once when it is told
+// to stop again.
+func endAtSecondSignal(ctx context.Context, lines *eventlog.Writer) {
+	<-ctx.Done()
+	again := make(chan os.Signal, 1)
+	signal.Notify(again, syscall.SIGINT, syscall.SIGTERM)
+	<-again
+	lines.Close()
+	os.Exit(ExitFailed)
+}
+
 // settingsPoll is how often the settings file is read without a signal.
 const settingsPoll = 5 * time.Second
 
--- a/edge/process.go
+++ b/edge/process.go
@@ -116,12 +116,18 @@
 		return err
 	}
 	for _, s := range servers {
+		closed := make(chan struct{})
 		group.Add(func() error {
 			if err := s.server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
 				return err
 			}
+			// Requests under way are still to be answered: the group ends with stop.
+			<-closed
 			return nil
-		}, func(error) { s.server.Close() })
+		}, func(error) {
+			s.server.Close()
+			close(closed)
+		})
 	}
 	ended := make(chan struct{})
 	group.Add(func() error {
