--- a/commands/commands.go
+++ b/commands/commands.go
@@ -47,6 +47,9 @@
 	Dump   dumpCommand   `cmd:"" help:"Print the whole state of one node as JSON."`
 	Submit submitCommand `cmd:"" help:"Hand in a request as a caller."`
 
+	Fleet   fleetCommand   `cmd:"" help:"Look at the pools, VMs, jobs and waves on the prepared platform."`
+	Explain explainCommand `cmd:"" help:"Follow one job over the logs of all VMs."`
+
 	StandIn standInCommand `cmd:"" name:"stand-in" help:"Run stand-ins for trying the daemon on one machine."`
 }
 
--- a/core/cell/event.go
+++ b/core/cell/event.go
@@ -210,4 +210,6 @@
 	// RetryAfter is when a refused caller should come back.
 	RetryAfter time.Duration `json:"retry_after,omitempty"`
 	Reason     string        `json:"reason,omitempty"`
+	// Wait is how long the job would have waited for executors.
+	Wait time.Duration `json:"wait,omitempty"`
 }
--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -43,7 +43,9 @@
 	e.Job.AcceptedMs -= (k.now.Mono - first).Milliseconds()
 	if a := k.admit(e.Job, queue, first); a.Verdict != Accepted {
 		k.refusals[e.Job.ID] = first
-		k.log(event.JobRefused, "job", e.Job.ID, "queue", queue.Name, "team", e.Job.Team, "reason", a.Reason, "retry_after_ms", a.RetryAfter.Milliseconds())
+		k.log(event.JobRefused, "job", e.Job.ID, "queue", queue.Name, "team", e.Job.Team, "reason", a.Reason,
+			"retry_after_ms", a.RetryAfter.Milliseconds(), "expected_wait_ms", a.Wait.Milliseconds(),
+			"chain_ms", e.Job.Chain().Milliseconds(), "asked_first_ms", (k.now.Mono - first).Milliseconds())
 		k.emit(Reply{e.Call, a})
 		return
 	}
@@ -75,7 +77,10 @@
 	if late <= 0 {
 		return Answer{Verdict: Accepted}
 	}
-	return Answer{Verdict: Refused, RetryAfter: min(max(late, minRetryAfter), maxRetryAfter), Reason: "the backlog exceeds the latency objective"}
+	return Answer{
+		Verdict: Refused, RetryAfter: min(max(late, minRetryAfter), maxRetryAfter), Wait: wait,
+		Reason: "the backlog exceeds the latency objective",
+	}
 }
 
 // ahead returns the work in core-seconds that goes before a job that is due at a
--- a/edge/process.go
+++ b/edge/process.go
@@ -55,7 +55,7 @@
 	PeerClient *http.Client
 	// Figures may be nil.
 	Figures *Figures
-	Log        *eventlog.Log
+	Log     *eventlog.Log
 }
 
 // Process is one entry VM's process.
