Let waves take what they need, lending first, orders at the platform's rate

Cause on the grown site: 189 VMs of a wave could not be lent until their upkeep, at most 48 orders could be under way (a move takes 1.5 s, so 30 a second), and each change of an entry decoded all 350.

--- a/commands/edge.go
+++ b/commands/edge.go
@@ -45,10 +45,12 @@
 	store := &platform.Store{Address: s.Platform.Address, Client: platform.NewHTTPClient(storeConns, 0)}
 	relay := &edge.Relay{Direct: store.Direct, Client: peers, Log: log}
 	store.Carry = relay.Carry
+	bounds := s.Bounds.Cell()
+	bounds.VMOrdersPerS = s.CloudAPI.DutyPerS
 	process := edge.New(edge.Settings{
 		Node: s.Node, Front: s.Listen.Front, Ready: s.Listen.Ready,
 		Peer:   net.JoinHostPort(s.IP, strconv.Itoa(s.PortRange[0])),
-		Bounds: s.Bounds.Cell(),
+		Bounds: bounds, Processor: s.Limits.CPUShare * s.Limits.Cores,
 	}, edge.Dependencies{
 		Store: store,
 		Workers: &platform.Workers{
--- a/core/cell/dump.go
+++ b/core/cell/dump.go
@@ -103,8 +103,8 @@
 		p := k.pools[name]
 		d.Pools = append(d.Pools, PoolDump{name, p.demand.Rate(now.Mono), k.coresNeeded(name), len(p.ready), len(p.jobs)})
 	}
-	for _, id := range slices.Sorted(maps.Keys(k.executors)) {
-		d.Executors = append(d.Executors, k.dumpExecutor(k.executors[id]))
+	for _, x := range k.sorted() {
+		d.Executors = append(d.Executors, k.dumpExecutor(x))
 	}
 	for _, id := range slices.Sorted(maps.Keys(k.jobs)) {
 		if j := k.jobs[id]; !j.state.Ended() {
--- a/core/cell/executors.go
+++ b/core/cell/executors.go
@@ -29,6 +29,9 @@
 	// unackedPause is the time between renewals while ends wait to be stored.
 	unackedPause = 250 * time.Millisecond
 	missPause    = 300 * time.Millisecond
+	// idleEvery is how often an executor without runs is looked at; each look is
+	// priced, and a dark one costs the next start half a second.
+	idleEvery = 2 * time.Second
 )
 
 // list takes the executors that are registered.
@@ -42,6 +45,7 @@
 		if x == nil {
 			x = &executor{Executor: e, runs: map[runKey]*run{}, knownSince: k.now.Mono}
 			k.executors[e.ID] = x
+			k.byID = nil
 		}
 		if x.born != 0 && e.Born > x.born {
 			k.reborn(x, e.Born)
@@ -126,8 +130,7 @@
 
 // checkExecutors drops the runs of executors that must have ended them.
 func (k *Kernel) checkExecutors() {
-	for _, id := range slices.Sorted(maps.Keys(k.executors)) {
-		x := k.executors[id]
+	for _, x := range slices.Clone(k.sorted()) {
 		k.retryStops(x)
 		silent := x.misses > 0 || !x.listed
 		gone := x.absent && x.misses > 0
@@ -143,7 +146,8 @@
 		}
 		if !x.listed {
 			k.log(event.ExecutorRemoved, "executor", x.ID)
-			delete(k.executors, id)
+			delete(k.executors, x.ID)
+			k.byID = nil
 		}
 	}
 }
@@ -210,8 +214,7 @@
 
 // renew keeps a renewal under way at every executor.
 func (k *Kernel) renew() {
-	for _, id := range slices.Sorted(maps.Keys(k.executors)) {
-		x := k.executors[id]
+	for _, x := range k.sorted() {
 		if x.renewing || k.orderedAway(x) {
 			continue
 		}
@@ -226,7 +229,7 @@
 			pause, wait = unackedPause, 0
 		case len(x.runs) == 0:
 			// Nothing can end; the deadline only matters for starts.
-			pause, wait = renewEvery, 0
+			pause, wait = idleEvery, 0
 		case k.hasUnresolved(x):
 			pause, wait = endsPause, 0
 		default:
--- a/core/cell/kernel.go
+++ b/core/cell/kernel.go
@@ -24,12 +24,13 @@
 	Upkeep time.Duration
 	// Move is how long a VM takes to join another pool.
 	Move time.Duration
+	// VMOrdersPerS is how many orders for VMs the platform takes a second, zero
+	// for no limit.
+	VMOrdersPerS float64
 }
 
 // The kernel's own times.
 const (
-	// renewEvery leaves two more tries before runs could lapse.
-	renewEvery = 1200 * time.Millisecond
 	// holdLength survives a takeover: lease, claim, and the first renewals.
 	holdLength = 4 * time.Second
 	// holdMargin keeps granted deadlines under the longest time allowed.
@@ -59,7 +60,9 @@
 
 	jobs      map[string]*jobState
 	executors map[string]*executor
-	pools     map[string]*pool
+	// byID holds the executors in the order of their ids, nil after a change.
+	byID  []*executor
+	pools map[string]*pool
 	// usage is what each team has running.
 	usage     map[string]fleet.Vector
 	evacuated map[string]bool
@@ -88,6 +91,9 @@
 	effects     []Effect
 	lentAt      time.Duration
 	poolsLogged time.Duration
+	// orderBudget is how many orders for VMs may be sent now.
+	orderBudget   float64
+	orderBudgetAt time.Duration
 	// lendable counts the VMs that are off and could be lent.
 	lendable int
 	// refusals holds when a refused job was first handed in.
@@ -158,15 +164,25 @@
 func (k *Kernel) decide() {
 	k.checkExecutors()
 	k.recoverStep()
-	k.maintain()
 	k.schedule()
 	k.lend()
+	k.maintain()
 	k.retryOrders()
 	k.flush()
 	k.renew()
 	k.sweep()
 }
 
+// sorted returns the executors in the order of their ids.
+func (k *Kernel) sorted() []*executor {
+	if k.byID == nil {
+		for _, id := range slices.Sorted(maps.Keys(k.executors)) {
+			k.byID = append(k.byID, k.executors[id])
+		}
+	}
+	return k.byID
+}
+
 func (k *Kernel) emit(e Effect) { k.effects = append(k.effects, e) }
 
 func (k *Kernel) log(n event.Number, fields ...any) {
--- a/core/cell/lend.go
+++ b/core/cell/lend.go
@@ -21,9 +21,8 @@
 	// once; the rest is done after what runs.
 	waitingShare = 0.7
 	// minVMs keeps a pool alive through the loss of a VM.
-	minVMs         = 2
-	maxMovesAtOnce = 48
-	poolsLogEvery  = time.Second
+	minVMs        = 2
+	poolsLogEvery = time.Second
 )
 
 // lend moves idle VMs to the pools that need them.
@@ -47,7 +46,7 @@
 		}
 	}
 	for _, m := range lending.Plan(pools, cores) {
-		if len(k.ordered) >= maxMovesAtOnce {
+		if !k.mayOrderNow() {
 			return
 		}
 		if k.config.PoolIsSpare(k.vms[m.VM].Pool) {
@@ -83,7 +82,7 @@
 		if moving || able {
 			p.VMs++
 		}
-		if !moving && idle > 0 && vm.State == fleet.VMUp && !k.inOpenWave(name) && k.mayOrder(name) {
+		if !moving && idle > 0 && vm.State == fleet.VMUp && !k.heldByWave(name, p.Spare) && k.mayOrder(name) {
 			p.Idle = append(p.Idle, lending.VM{Name: name, Idle: idle})
 		}
 	}
@@ -116,11 +115,12 @@
 	return max(k.now.Mono-x.busyAt, time.Nanosecond), true
 }
 
-// inOpenWave reports whether a VM waits for its maintenance.
-func (k *Kernel) inOpenWave(name string) bool {
+// heldByWave reports whether a VM has to wait for its maintenance rather than
+// change its pool. One that is off may serve first while the wave has time.
+func (k *Kernel) heldByWave(name string, off bool) bool {
 	for _, w := range k.waves {
-		if w.status != waveSucceeded && !w.done[name] && slices.Contains(w.VMs, name) {
-			return true
+		if w.status != waveSucceeded && !w.done[name] && w.members[name] {
+			return !off || k.waveLate(w)
 		}
 	}
 	return false
@@ -157,6 +157,26 @@
 	return float64(service)/1000 + max(present, p.demand.Rate(k.now.Mono))
 }
 
+// mayOrderNow reports whether the platform takes one more order for a VM now, and
+// counts it.
+func (k *Kernel) mayOrderNow() bool {
+	if k.VMOrdersPerS <= 0 {
+		return true
+	}
+	refill := (k.now.Mono - k.orderBudgetAt).Seconds() * k.VMOrdersPerS * orderShare
+	k.orderBudget = min(k.orderBudget+refill, k.VMOrdersPerS*orderShare/2)
+	k.orderBudgetAt = k.now.Mono
+	if k.orderBudget < 1 {
+		return false
+	}
+	k.orderBudget--
+	return true
+}
+
+// orderShare is the part of the platform's rate that orders use; the rest is for
+// repetitions and for another owner's last orders.
+const orderShare = 0.9
+
 // orderMove sends a VM to another pool.
 func (k *Kernel) orderMove(vm, pool string) {
 	from := k.vms[vm]
--- a/core/cell/schedule.go
+++ b/core/cell/schedule.go
@@ -96,7 +96,7 @@
 
 func (k *Kernel) freeExecutors(pool string) []*executor {
 	var free []*executor
-	for _, x := range k.executors {
+	for _, x := range k.sorted() {
 		// A later owner, which claims after our proof has ended, may not know an
 		// executor that joined since.
 		if k.now.Mono > k.until && x.fencedAt > k.until {
@@ -106,7 +106,6 @@
 			free = append(free, x)
 		}
 	}
-	slices.SortFunc(free, func(a, b *executor) int { return cmp.Compare(a.ID, b.ID) })
 	return free
 }
 
--- a/core/cell/wave.go
+++ b/core/cell/wave.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"strconv"
 	"time"
@@ -29,6 +30,8 @@
 	fleet.Wave
 	asked time.Duration
 	done  map[string]bool
+	// members holds the names of VMs.
+	members map[string]bool
 	// status is what operators were told, empty before the first report.
 	status string
 }
@@ -62,13 +65,44 @@
 	for _, w := range waves {
 		if known := k.waves[w.Number]; known != nil {
 			known.Wave = w
+			known.index()
 			continue
 		}
-		k.waves[w.Number] = &wave{Wave: w, asked: k.now.Mono, done: map[string]bool{}}
+		added := &wave{Wave: w, asked: k.now.Mono, done: map[string]bool{}}
+		added.index()
+		k.waves[w.Number] = added
 		k.log(event.WaveAsked, "wave", w.Number, "vms", len(w.VMs), "cap", w.Cap, "within_s", w.Within)
 	}
 }
 
+func (w *wave) index() {
+	w.members = make(map[string]bool, len(w.VMs))
+	for _, vm := range w.VMs {
+		w.members[vm] = true
+	}
+}
+
+// waveLate reports whether a wave has used up the time in which it waits for
+// work to end.
+func (k *Kernel) waveLate(w *wave) bool {
+	return (k.now.Mono-w.asked).Seconds()*100 > w.Within*forceShare
+}
+
+// together returns how many VMs are to be down at once so that the wave is done
+// in time: no more than that, since each is missing elsewhere.
+func (k *Kernel) together(w *wave, open int) int {
+	left := w.Within*forceShare/100 - (k.now.Mono - w.asked).Seconds()
+	if left <= 0 {
+		return w.Cap
+	}
+	each := (k.Upkeep + upkeepOverhead).Seconds()
+	return min(w.Cap, int(math.Ceil(float64(open)*each/left))+1)
+}
+
+// upkeepOverhead is how much longer than its maintenance a VM is away: to be
+// emptied, to be seen again.
+const upkeepOverhead = 1500 * time.Millisecond
+
 // LoadWave takes a wave's progress from the store before the first event.
 func (k *Kernel) LoadWave(number int, p WaveProgress) {
 	w := &wave{Wave: fleet.Wave{Number: number}, asked: k.now.Mono, done: map[string]bool{}}
@@ -181,16 +215,17 @@
 		return
 	}
 	slices.SortStableFunc(open, func(a, b string) int { return k.burden(a) - k.burden(b) })
-	late := (k.now.Mono-w.asked).Seconds()*100 > w.Within*forceShare
+	late := k.waveLate(w)
+	most := k.together(w, len(open)+down)
 	for i, name := range open {
 		x := k.executors[k.vms[name].Executor]
-		if down < w.Cap && k.vms[name].State == fleet.VMUp && k.emptied(x, late) {
+		if down < most && k.vms[name].State == fleet.VMUp && k.emptied(x, late) && k.mayOrderNow() {
 			k.orderUpkeep(w, name)
 			down++
 			continue
 		}
 		if x != nil {
-			x.cordoned = i < w.Cap+cordonAhead-down
+			x.cordoned = i < most+cordonAhead-down
 			if x.cordoned {
 				k.vacate(x)
 			}
--- a/core/codec.go
+++ b/core/codec.go
@@ -13,8 +13,8 @@
 	ExecutorPrefix() string
 	// Operator reads the items that operators wrote.
 	Operator(items map[string]Item) (OperatorState, []error)
-	// Executors reads the items that executors wrote.
-	Executors(items map[string]Item) ([]fleet.Executor, []error)
+	// Executor reads an item that an executor wrote.
+	Executor(item Item) (fleet.Executor, error)
 	// Job reads a caller's job and checks its form.
 	Job(id string, body []byte) (*job.Job, error)
 	// State and Depth write answers to callers.
--- a/edge/host.go
+++ b/edge/host.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -13,6 +15,7 @@
 	"jacinthwind/core"
 	"jacinthwind/core/cell"
 	"jacinthwind/core/event"
+	"jacinthwind/core/fleet"
 )
 
 // Host times.
@@ -289,18 +292,44 @@
 	}
 }
 
-// runExecutorList follows the list of executors.
+// readExecutor is an executor as it was read from a revision of its entry.
+type readExecutor struct {
+	revision int64
+	executor fleet.Executor
+	valid    bool
+}
+
+// runExecutorList follows the list of executors; an entry is read once for each
+// of its revisions.
 func (h *host) runExecutorList() {
+	known := map[string]readExecutor{}
 	f := follower{store: h.store, prefix: h.codec.ExecutorPrefix(), changed: func(items map[string]core.Item) {
-		executors, findings := h.codec.Executors(items)
-		for _, err := range findings {
-			h.log.Event(event.ExecutorEntrySkipped, zap.Error(err))
+		next := make(map[string]readExecutor, len(items))
+		var executors []fleet.Executor
+		for _, key := range slices.Sorted(maps.Keys(items)) {
+			r, ok := known[key]
+			if !ok || r.revision != items[key].Revision {
+				r = h.readExecutor(items[key])
+			}
+			next[key] = r
+			if r.valid {
+				executors = append(executors, r.executor)
+			}
 		}
+		known = next
 		h.send(cell.Listed{Executors: executors})
 	}}
 	f.run(h.ctx)
 }
 
+func (h *host) readExecutor(item core.Item) readExecutor {
+	e, err := h.codec.Executor(item)
+	if err != nil {
+		h.log.Event(event.ExecutorEntrySkipped, zap.Error(err))
+	}
+	return readExecutor{item.Revision, e, err == nil}
+}
+
 // ask runs f on the kernel between two events.
 func (h *host) ask(ctx context.Context, f func(*cell.Kernel)) error {
 	q := question{ask: f, done: make(chan struct{})}
--- a/edge/owner.go
+++ b/edge/owner.go
@@ -29,8 +29,10 @@
 	leaseMargin = 100 * time.Millisecond
 	// claimSpread keeps all nodes from claiming at once.
 	claimSpread = 120 * time.Millisecond
-	claimCheck  = 100 * time.Millisecond
-	claimWithin = 4 * time.Second
+	// claimHandicap lets VMs with more of a core claim first: one owner serves all.
+	claimHandicap = 150 * time.Millisecond
+	claimCheck    = 100 * time.Millisecond
+	claimWithin   = 4 * time.Second
 	// runsPerGeneration separates the runs of one owner from those of the next.
 	runsPerGeneration = 100_000
 	handOverWithin    = 700 * time.Millisecond
@@ -50,9 +52,11 @@
 	vms      core.Machines
 	advisor  core.Advisor
 	settings cell.Settings
-	log      *eventlog.Log
-	figures  *Figures
-	system   *actor.ActorSystem
+	// processor is what this VM may use, in cores.
+	processor float64
+	log       *eventlog.Log
+	figures   *Figures
+	system    *actor.ActorSystem
 
 	mu sync.Mutex
 	// seen is the owner's record as the store shows it.
@@ -128,7 +132,7 @@
 			pause(ctx, claimCheck)
 			continue
 		}
-		pause(ctx, rand.N(claimSpread))
+		pause(ctx, rand.N(claimSpread)+time.Duration(max(1-o.processor, 0)*float64(claimHandicap)))
 		revision, ok := o.free()
 		if !ok {
 			continue
--- a/edge/process.go
+++ b/edge/process.go
@@ -41,6 +41,8 @@
 	// Front, Ready and Peer are the addresses to listen on.
 	Front, Ready, Peer string
 	Bounds             cell.Settings
+	// Processor is what the VM may use, in cores.
+	Processor float64
 }
 
 // Dependencies are what a process talks to.
@@ -85,7 +87,7 @@
 	p.owner = &owner{
 		self:  ownerRecord{Node: s.Node, Incarnation: p.incarnation, Address: s.Peer},
 		store: d.Store, codec: d.Codec, workers: d.Workers, vms: d.VMs, advisor: d.Advisor,
-		settings: s.Bounds, log: d.Log, figures: d.Figures, changed: make(chan struct{}),
+		settings: s.Bounds, processor: s.Processor, log: d.Log, figures: d.Figures, changed: make(chan struct{}),
 		system: actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger {
 			return slog.New(slog.DiscardHandler)
 		})),
