--- /dev/null
+++ b/core/cell/placement_test.go
@@ -0,0 +1,174 @@
+package cell_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"jacinthwind/core/cell"
+	"jacinthwind/core/fleet"
+	"jacinthwind/core/job"
+)
+
+// placed returns the executors that run tasks of a job, with their counts.
+func (w *world) placed(id string) map[string]int {
+	found := map[string]int{}
+	for _, x := range w.executors {
+		for _, r := range x.runs {
+			if r.task[:16] == id {
+				found[x.ID]++
+			}
+		}
+	}
+	return found
+}
+
+// TestPlacement is a row for each requirement of a step.
+func TestPlacement(t *testing.T) {
+	for name, c := range map[string]struct {
+		step    job.Step
+		prepare func(w *world)
+		want    map[string]int
+	}{
+		"a label": {
+			job.Step{Count: 2, Label: "fast"},
+			func(w *world) { w.executors["e2"].Labels = []string{"fast", "r1-1"} },
+			map[string]int{"e2": 2},
+		},
+		"a bound on each executor": {
+			job.Step{Count: 4, PerExecutor: 1},
+			func(*world) {},
+			map[string]int{"e0": 1, "e1": 1, "e2": 1},
+		},
+		"the rack of the data": {
+			job.Step{Count: 2, Rack: "r9-1"},
+			func(w *world) { w.executors["e1"].Labels = []string{"a", "r9-1"} },
+			map[string]int{"e1": 2},
+		},
+		"a gang that fits": {
+			job.Step{Count: 3, Gang: true, Size: fleet.Vector{CPU: 8000}},
+			func(*world) {},
+			map[string]int{"e0": 1, "e1": 1, "e2": 1},
+		},
+		"a gang that does not fit": {
+			job.Step{Count: 4, Gang: true, Size: fleet.Vector{CPU: 8000}},
+			func(*world) {},
+			map[string]int{},
+		},
+		"a gang in one rack": {
+			job.Step{Count: 2, Gang: true, SameRack: true, Size: fleet.Vector{CPU: 5000}},
+			func(w *world) {
+				w.executors["e0"].Labels = []string{"a", "r2-1"}
+				w.executors["e2"].Labels = []string{"a", "r2-1"}
+			},
+			map[string]int{"e0": 1, "e2": 1},
+		},
+		"not on a leaving executor": {
+			job.Step{Count: 1, Size: fleet.Vector{CPU: 5000}},
+			func(w *world) { w.executors["e0"].Draining, w.executors["e1"].Draining = true, true },
+			map[string]int{"e2": 1},
+		},
+		"not in a data centre that is out": {
+			job.Step{Count: 1},
+			func(w *world) {
+				w.executors["e0"].DataCentre, w.executors["e1"].DataCentre = "dc2", "dc2"
+				w.step(cell.Evacuated{DataCentres: []string{"dc2"}})
+			},
+			map[string]int{"e2": 1},
+		},
+		"not in another pool": {
+			job.Step{Count: 1},
+			func(w *world) { w.executors["e0"].Pool, w.executors["e1"].Pool = "other", "other" },
+			map[string]int{"e2": 1},
+		},
+		"fill tasks take no processors": {
+			job.Step{Count: 3, Fills: true, Service: true, Size: fleet.Vector{CPU: 8000, Mem: 100}},
+			func(w *world) { w.executors["e1"].Pool, w.executors["e2"].Pool = "other", "other" },
+			map[string]int{"e0": 3},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 3)
+			w.taskTime = func(string, int) (time.Duration, fleet.RunEnd) { return time.Minute, fleet.EndDone }
+			c.prepare(w)
+			w.list()
+			w.play(time.Second)
+			j := simpleJob(1, 1, 1000)
+			if c.step.Size == (fleet.Vector{}) {
+				c.step.Size = fleet.Vector{CPU: 1000, Mem: 10}
+			}
+			// A job that lasts is admitted whatever waits.
+			j.Steps = []job.Step{c.step, {Count: 1, Service: true, Label: "none", Size: fleet.Vector{CPU: 1}}}
+			w.submit(j)
+			w.play(500 * time.Millisecond)
+			require.Equal(t, c.want, w.placed(j.ID))
+		})
+	}
+}
+
+// TestOccurrencesStartAtTheirTimes follows a job of three occurrences.
+func TestOccurrencesStartAtTheirTimes(t *testing.T) {
+	w := newWorld(t, 2)
+	w.play(time.Second)
+	j := simpleJob(1, 1, 1000)
+	begin := w.now + 2*time.Second
+	j.Times, j.StartMs, j.IntervalMs = 3, begin.Milliseconds(), 1000
+	w.submit(j)
+	for k, task := range []string{j.ID + ".0.0.0", j.ID + ".1.0.0", j.ID + ".2.0.0"} {
+		due := begin + time.Duration(k)*time.Second
+		w.play(due - w.now - 20*time.Millisecond)
+		require.Zero(t, w.starts[task], "%s began early", task)
+		w.play(200 * time.Millisecond)
+		require.Equal(t, 1, w.starts[task])
+	}
+	w.play(2 * time.Second)
+	require.Equal(t, job.Succeeded, w.state(j.ID))
+}
+
+// TestUrgentGoesFirst lets work of a lower priority wait.
+func TestUrgentGoesFirst(t *testing.T) {
+	w := newWorld(t, 1)
+	w.config.Queues = append(w.config.Queues, fleet.Queue{Name: "slow", Host: "h", Prefix: "/s/", Pool: "render", Priority: 1, Attempts: 1, Stretch: 9, Objective: time.Minute})
+	w.config.Index()
+	w.play(time.Second)
+	first := simpleJob(1, 8, 1000)
+	w.submit(first)
+	w.play(100 * time.Millisecond)
+	slow, urgent := simpleJob(2, 4, 2000), simpleJob(3, 4, 2000)
+	slow.Queue = "slow"
+	w.submit(slow)
+	w.submit(urgent)
+	w.play(600 * time.Millisecond)
+	require.Len(t, w.placed(urgent.ID), 1)
+	require.Empty(t, w.placed(slow.ID))
+	w.play(3 * time.Second)
+	require.Equal(t, job.Succeeded, w.state(slow.ID))
+}
+
+// TestWaveKeepsBudgetsAndCap maintains every VM while a step of a job may miss
+// one task at a time.
+func TestWaveKeepsBudgetsAndCap(t *testing.T) {
+	w := newWorld(t, 4)
+	w.play(1500 * time.Millisecond)
+	j := simpleJob(1, 4, 3000)
+	j.Steps[0].Service, j.Steps[0].MaxUnavailable = true, 1
+	w.submit(j)
+	w.play(time.Second)
+	w.maintains = true
+	var vms []string
+	for _, vm := range w.vms {
+		vms = append(vms, vm.Name)
+	}
+	w.step(cell.WavesAsked{Waves: []fleet.Wave{{Number: 1, VMs: vms, Within: 60, Cap: 2}}})
+	for range 4000 {
+		w.play(testStep)
+		running := 0
+		for _, n := range w.placed(j.ID) {
+			running += n
+		}
+		require.GreaterOrEqual(t, running, 3, "at %v", w.now)
+		require.LessOrEqual(t, w.down(), 2, "at %v", w.now)
+	}
+	require.Len(t, w.maintained, 4)
+}
--- a/core/cell/world_test.go
+++ b/core/cell/world_test.go
@@ -92,6 +92,8 @@
 	// moved and maintained hold the executors whose VMs were ordered away.
 	moved, maintained map[string]bool
 	orderRecord       cell.OrdersRecord
+	// maintains lets orders for maintenance succeed.
+	maintains bool
 	// lastOrder holds who ordered for a VM last, and when.
 	lastOrder map[string]vmOrdered
 }
@@ -105,6 +107,47 @@
 // testOrderLease is for how long another owner's order protects a VM.
 const testOrderLease = time.Second
 
+// maintain takes a VM down for two seconds; its executor comes back as another.
+func (w *world) maintain(k *cell.Kernel, vm string) {
+	id := strings.TrimPrefix(vm, "vm-")
+	var x *fakeExecutor
+	for i := range w.vms {
+		if w.vms[i].Name == vm {
+			x = w.executors[w.vms[i].Executor]
+		}
+	}
+	w.crash(x)
+	w.setVM(x.ID, fleet.VMUpkeep)
+	w.list()
+	w.after(time.Millisecond, func() { w.tell(k, cell.VMOrdered{VM: vm, Outcome: fleet.VMOrderDone}) })
+	w.after(2*time.Second, func() {
+		next := *x
+		next.ID = id + "-new"
+		next.down, next.bootedAt = false, w.now-time.Second
+		next.runs, next.dead = map[string]*fakeRun{}, map[string]int{}
+		delete(w.executors, x.ID)
+		w.executors[next.ID] = &next
+		w.setVM(x.ID, fleet.VMUp)
+		for i := range w.vms {
+			if w.vms[i].Name == vm {
+				w.vms[i].Executor = next.ID
+			}
+		}
+		w.list()
+	})
+}
+
+// down counts the VMs that are down for maintenance.
+func (w *world) down() int {
+	n := 0
+	for _, vm := range w.vms {
+		if vm.State == fleet.VMUpkeep {
+			n++
+		}
+	}
+	return n
+}
+
 // checkVMOrder checks that owners do not take turns at a VM.
 func (w *world) checkVMOrder(vm string, token int64) {
 	last, ok := w.lastOrder[vm]
@@ -324,11 +367,14 @@
 		w.after(5*time.Millisecond, func() { w.write(k, e) })
 	case cell.Start:
 		delay, answered := w.orders("start", e.Order.Task)
+		if w.executors[e.Order.Executor] == nil {
+			return
+		}
 		born := w.executors[e.Order.Executor].Born
 		w.after(delay, func() {
 			// An order that is carried out late ends with the incarnation that has it.
 			a := fleet.OrderAnswer{Outcome: fleet.OrderUnknown}
-			if w.executors[e.Order.Executor].Born == born {
+			if x := w.executors[e.Order.Executor]; x != nil && x.Born == born {
 				a = w.start(e.Order)
 			}
 			if answered {
@@ -362,6 +408,10 @@
 	case cell.MaintainVM:
 		w.checkVMOrder(e.VM, e.Token)
 		w.maintained[strings.TrimPrefix(e.VM, "vm-")] = true
+		if w.maintains {
+			w.maintain(k, e.VM)
+			return
+		}
 		w.after(time.Millisecond, func() { w.tell(k, cell.VMOrdered{VM: e.VM, Outcome: fleet.VMOrderRefused}) })
 	case cell.ListVMs:
 		w.after(5*time.Millisecond, func() { w.tell(k, cell.VMsListed{VMs: w.vms}) })
