Judge executors by a list of VMs only if it was asked for after they answered

The time of the question goes with the answer; joins and answers after it, and 0.3 s before, speak for the executor. The test fails with the time of the latest question.

--- a/core/cell/event.go
+++ b/core/cell/event.go
@@ -37,8 +37,12 @@
 	Evacuated struct{ DataCentres []string }
 	// WavesAsked replaces the list of maintenance waves.
 	WavesAsked struct{ Waves []fleet.Wave }
-	// VMsListed replaces the list of VMs.
-	VMsListed struct{ VMs []fleet.VM }
+	// VMsListed replaces the list of VMs by the answer to a question that was
+	// asked at a time.
+	VMsListed struct {
+		VMs   []fleet.VM
+		Asked time.Duration
+	}
 	// LeaseExtended says until when the ownership is proved.
 	LeaseExtended struct{ Until time.Duration }
 	// Submitted hands a job in.
--- a/core/cell/executors.go
+++ b/core/cell/executors.go
@@ -82,7 +82,7 @@
 	if x.clock > 0 && clock < x.clock+(elapsed*1000/clockDrift-regressSlack).Milliseconds() {
 		k.reborn(x, 0)
 	}
-	x.clock, x.clockAt = clock, k.now.Mono
+	x.clock, x.clockAt, x.reachedAt = clock, k.now.Mono, k.now.Mono
 }
 
 // usable reports whether an executor may get new work.
@@ -303,7 +303,7 @@
 	if first {
 		x.fencedAt = k.now.Mono
 	}
-	x.fenced, x.absent = true, false
+	x.fenced, x.absent, x.reachedAt = true, false, k.now.Mono
 	x.clock, x.clockAt = s.ClockMs, k.now.Mono
 	for _, end := range s.Ended {
 		if end.Number > x.seenSeq {
--- a/core/cell/kernel.go
+++ b/core/cell/kernel.go
@@ -133,7 +133,7 @@
 	case WavesAsked:
 		k.askWaves(e.Waves)
 	case VMsListed:
-		k.listVMs(e.VMs)
+		k.listVMs(e)
 	case LeaseExtended:
 		k.until = max(k.until, e.Until)
 		return nil
--- a/core/cell/kernel_test.go
+++ b/core/cell/kernel_test.go
@@ -242,3 +242,27 @@
 	require.Equal(t, job.Failed, w.state(j.ID))
 	require.Equal(t, 1, w.starts[task])
 }
+
+// TestOldListOfVMsProvesNothing replays fresh-c05f of sellocant-jw-grown: the
+// answer to an earlier question did not name the VM of a new executor yet, whose
+// runs were given up and started elsewhere while they went on.
+func TestOldListOfVMsProvesNothing(t *testing.T) {
+	w := newWorld(t, 1)
+	w.play(time.Second)
+	before, asked := w.vms, w.now
+	w.addExecutor("e9")
+	w.executors["e9"].Labels = []string{"new", "r1-1"}
+	w.list()
+	w.play(500 * time.Millisecond)
+	j := simpleJob(1, 1, 1000)
+	j.Steps[0].Service, j.Steps[0].Label = true, "new"
+	w.submit(j)
+	w.play(500 * time.Millisecond)
+	require.Equal(t, map[string]int{"e9": 1}, w.placed(j.ID))
+	w.executors["e9"].dark = true
+	w.play(900 * time.Millisecond)
+	w.step(cell.VMsListed{VMs: before, Asked: asked})
+	w.executors["e9"].dark = false
+	w.play(3 * time.Second)
+	require.Equal(t, 1, w.starts[j.ID+".0.0.0"])
+}
--- a/core/cell/state.go
+++ b/core/cell/state.go
@@ -156,6 +156,8 @@
 	renewing   bool
 	renewedAt  time.Duration
 	answeredAt time.Duration
+	// reachedAt is when the executor last answered a call.
+	reachedAt time.Duration
 	misses     int
 	// failures counts failed runs since the last success.
 	failures  int
--- a/core/cell/wave.go
+++ b/core/cell/wave.go
@@ -16,6 +16,8 @@
 	// listVMsEvery is the time between readings of the list while orders are
 	// under way; the list is priced per call.
 	listVMsEvery = 500 * time.Millisecond
+	// listLag is how much later than an executor's entry its VM may be listed.
+	listLag = 300 * time.Millisecond
 	// vmOrderRetry is when an unanswered or refused order is sent again.
 	vmOrderRetry = time.Second
 	// cordonAhead is how many VMs beyond the cap are emptied in advance.
@@ -113,13 +115,15 @@
 }
 
 // listVMs takes the platform's list of VMs.
-func (k *Kernel) listVMs(vms []fleet.VM) {
+func (k *Kernel) listVMs(e VMsListed) {
+	vms := e.VMs
 	k.vmsAt = k.now.Mono
 	k.vms = make(map[string]fleet.VM, len(vms))
 	for _, x := range k.executors {
 		x.vm = ""
-		// An executor that joined after the question may be missing in the answer.
-		x.absent = len(vms) > 0 && x.knownSince < k.vmsAsked
+		// An executor that joined or answered after the question may be missing
+		// in the answer, which shows an earlier time.
+		x.absent = len(vms) > 0 && x.knownSince+listLag < e.Asked && x.reachedAt+listLag < e.Asked
 	}
 	for _, vm := range vms {
 		k.vms[vm.Name] = vm
--- a/core/cell/world_test.go
+++ b/core/cell/world_test.go
@@ -217,7 +217,7 @@
 	}
 	w.kernel.LoadOrders(w.orderRecord)
 	w.list()
-	w.step(cell.VMsListed{VMs: w.vms})
+	w.step(cell.VMsListed{VMs: w.vms, Asked: w.now})
 }
 
 // storeUp carries out the write that was held back.
@@ -414,7 +414,8 @@
 		}
 		w.after(time.Millisecond, func() { w.tell(k, cell.VMOrdered{VM: e.VM, Outcome: fleet.VMOrderRefused}) })
 	case cell.ListVMs:
-		w.after(5*time.Millisecond, func() { w.tell(k, cell.VMsListed{VMs: w.vms}) })
+		asked := w.now
+		w.after(5*time.Millisecond, func() { w.tell(k, cell.VMsListed{VMs: w.vms, Asked: asked}) })
 	}
 }
 
--- a/edge/host.go
+++ b/edge/host.go
@@ -247,12 +247,13 @@
 }
 
 func (h *host) listVMs(ctx context.Context) cell.Event {
+	asked := mono()
 	vms, err := h.vms.List(ctx)
 	if err != nil {
 		h.log.Event(event.VMListFailed, zap.Error(err))
 		return cell.Tick{}
 	}
-	return cell.VMsListed{VMs: vms}
+	return cell.VMsListed{VMs: vms, Asked: asked}
 }
 
 func (h *host) call(within time.Duration, f func(context.Context) cell.Event) {
