--- a/core/cell/lend.go
+++ b/core/cell/lend.go
@@ -89,7 +89,7 @@
 	for _, name := range order {
 		if p := byName[name]; !p.Spare {
 			p.Cores = k.coresNeeded(name)
-			p.Floor = minVMs
+			p.Floor = k.floor(name)
 		}
 	}
 	var pools []lending.Pool
@@ -177,6 +177,18 @@
 // repetitions and for another owner's last orders.
 const orderShare = 0.9
 
+// floor returns how many VMs a pool needs whatever its work takes: as many as
+// the widest service step must be spread over.
+func (k *Kernel) floor(name string) int {
+	most := minVMs
+	for _, s := range k.pool(name).ready {
+		if s.Service && s.PerExecutor > 0 && !s.job.state.Ended() {
+			most = max(most, (s.Count+s.PerExecutor-1)/s.PerExecutor)
+		}
+	}
+	return most
+}
+
 // orderMove sends a VM to another pool.
 func (k *Kernel) orderMove(vm, pool string) {
 	from := k.vms[vm]
--- a/core/cell/placement_test.go
+++ b/core/cell/placement_test.go
@@ -1,6 +1,7 @@
 package cell_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -172,3 +173,25 @@
 	}
 	require.Len(t, w.maintained, 4)
 }
+
+// TestSpreadStepGetsItsVMs replays scale-2 of zkw-tarcza-grown: a service step of
+// one task an executor was wider than its pool, waited for half a minute, and its
+// budget held a wave up.
+func TestSpreadStepGetsItsVMs(t *testing.T) {
+	w := newWorld(t, 2)
+	for range 4 {
+		w.vms = append(w.vms, fleet.VM{Name: fmt.Sprintf("vm-s%d", len(w.vms)), Pool: "spare", State: fleet.VMUp, Room: fleet.Vector{CPU: 8000, Mem: 8000}})
+	}
+	w.play(time.Second)
+	j := simpleJob(1, 4, 100)
+	j.Steps[0].Service, j.Steps[0].PerExecutor = true, 1
+	w.submit(j)
+	w.play(time.Second)
+	lent := 0
+	for id := range w.moved {
+		if id[0] == 's' {
+			lent++
+		}
+	}
+	require.GreaterOrEqual(t, lent, 2)
+}
--- a/core/cell/schedule.go
+++ b/core/cell/schedule.go
@@ -226,6 +226,10 @@
 		// Few VMs hold the service tasks, so that the others can be lent or off,
 		// but one loss takes few tasks of a step.
 		sc.crowd = max(x.count(s)-maxTogether+1, 0)
+		if x.maintenanceDue {
+			// A service task would have to move once more.
+			sc.far++
+		}
 	}
 	return sc
 }
--- a/core/cell/state.go
+++ b/core/cell/state.go
@@ -158,7 +158,7 @@
 	answeredAt time.Duration
 	// reachedAt is when the executor last answered a call.
 	reachedAt time.Duration
-	misses     int
+	misses    int
 	// failures counts failed runs since the last success.
 	failures  int
 	failedAt  time.Duration
@@ -166,6 +166,8 @@
 	avoid     time.Duration
 	vm        string
 	cordoned  bool
+	// maintenanceDue says that a wave will take the VM down.
+	maintenanceDue bool
 	// busyAt is when the executor last had a run.
 	busyAt time.Duration
 }
--- a/core/cell/wave.go
+++ b/core/cell/wave.go
@@ -22,6 +22,9 @@
 	vmOrderRetry = time.Second
 	// cordonAhead is how many VMs beyond the cap are emptied in advance.
 	cordonAhead = 2
+	// heavyShare is one in how many of the VMs that are emptied holds many
+	// service tasks.
+	heavyShare = 4
 	// forceShare is the share of a wave's time, in percent, after which work
 	// that ends is cut short for it.
 	forceShare = 60
@@ -228,15 +231,34 @@
 			down++
 			continue
 		}
-		if x != nil {
-			x.cordoned = i < most+cordonAhead-down
-			if x.cordoned {
-				k.vacate(x)
-			}
+		if x == nil {
+			continue
+		}
+		// The last in the order hold service tasks, whose budgets take time: some of
+		// them are emptied from the beginning.
+		heavy := i >= len(open)-1-most/heavyShare && x.services() > 0
+		x.cordoned = x.cordoned || i < most+cordonAhead-down || heavy
+		x.maintenanceDue = true
+		if x.cordoned {
+			k.vacate(x)
 		}
 	}
 }
 
+// services counts the service runs of an executor.
+func (x *executor) services() int {
+	n := 0
+	for _, r := range x.runs {
+		if r.step.Service {
+			n++
+		}
+	}
+	return n
+}
+
+// cordonedAhead puts a cordoned VM before others with ten runs less.
+const cordonedAhead = 20
+
 // burden counts what stands against the maintenance of a VM now.
 func (k *Kernel) burden(vm string) int {
 	x := k.executors[k.vms[vm].Executor]
@@ -250,7 +272,8 @@
 		}
 	}
 	if x.cordoned {
-		n--
+		// What was begun is ended first.
+		n -= cordonedAhead
 	}
 	return n
 }
