--- a/core/cell/kernel.go
+++ b/core/cell/kernel.go
@@ -72,8 +72,6 @@
 	recovering bool
 	claimedAt  time.Duration
 	listSeen   bool
-	uncertain  []*stepRun
-	unmatched  map[string][]fleet.ActiveRun
 	waves      map[int]*wave
 	vms        map[string]fleet.VM
 	vmsAt      time.Duration
--- a/core/cell/random_test.go
+++ b/core/cell/random_test.go
@@ -42,8 +42,7 @@
 type randomWorld struct {
 	*rapid.T
 	*world
-	jobs      int
-	cancelled map[string]bool
+	jobs int
 }
 
 func hash(seed uint64, task string, run int) uint64 {
--- a/edge/records.go
+++ b/edge/records.go
@@ -28,13 +28,6 @@
 	Generation  int64  `json:"generation"`
 }
 
-// nodeRecord lists a node for its peers.
-type nodeRecord struct {
-	Node        string `json:"node"`
-	Incarnation string `json:"incarnation"`
-	Address     string `json:"address"`
-}
-
 // sequenceRecord orders all writes of all owners: each write expects the one
 // before it, so that a write that is carried out late fails.
 type sequenceRecord struct {
