--- a/core/cell/fake_test.go
+++ b/core/cell/fake_test.go
@@ -14,9 +14,11 @@
 
 // fakeRun is a run on a fake executor.
 type fakeRun struct {
-	task    string
-	run     int
-	size    fleet.Vector
+	task string
+	run  int
+	size fleet.Vector
+	// begins and ends bound the run; a slow executor moves the end away.
+	begins  time.Duration
 	ends    time.Duration
 	how     fleet.RunEnd
 	service bool
@@ -93,7 +95,7 @@
 	require.False(w.t, w.acknowledged[o.Task], "at %v: %s starts after its done end was acknowledged", w.now, o.Task)
 	require.True(w.t, x.used().Add(step.Reserved()).FitsIn(x.Room), "at %v: %s brings %s over its room", w.now, o.Task, x.ID)
 	took, how := w.taskTime(o.Task, o.Run)
-	x.runs[o.Task] = &fakeRun{task: o.Task, run: o.Run, size: step.Reserved(), ends: w.now + took, how: how, service: step.Service}
+	x.runs[o.Task] = &fakeRun{task: o.Task, run: o.Run, size: step.Reserved(), begins: w.now, ends: w.now + took, how: how, service: step.Service}
 	w.starts[o.Task]++
 	return answer(fleet.OrderDone)
 }
@@ -160,8 +162,16 @@
 		})
 	}
 	for _, task := range slices.Sorted(maps.Keys(x.runs)) {
-		s.Active = append(s.Active, fleet.ActiveRun{Task: task, Run: x.runs[task].run, Percent: 100})
+		s.Active = append(s.Active, fleet.ActiveRun{Task: task, Run: x.runs[task].run, Percent: x.runs[task].percent(w.now)})
 	}
 	s.Ended = append(s.Ended, x.ended...)
 	return s
 }
+
+// percent returns the progress of a run; a service task is at work at once.
+func (r *fakeRun) percent(now time.Duration) int {
+	if r.service {
+		return 100
+	}
+	return int((now - r.begins) * 100 / max(r.ends-r.begins, 1))
+}
--- a/core/cell/placement_test.go
+++ b/core/cell/placement_test.go
@@ -195,3 +195,40 @@
 	}
 	require.GreaterOrEqual(t, lent, 2)
 }
+
+// TestStragglersRunElsewhere lets an executor stand still or be ten times slow:
+// its tasks run elsewhere, once each at a time (checked by the world). A single
+// long task is left alone.
+func TestStragglersRunElsewhere(t *testing.T) {
+	for name, c := range map[string]struct {
+		tasks  int
+		took   time.Duration
+		within time.Duration
+		starts int
+	}{
+		"standing still": {3, time.Hour, 4 * time.Second, 6},
+		"slow":           {3, 8 * time.Second, 5 * time.Second, 6},
+		"a long task":    {1, 1800 * time.Millisecond, 3 * time.Second, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 2)
+			w.taskTime = func(_ string, run int) (time.Duration, fleet.RunEnd) {
+				if run == 1 {
+					return c.took, fleet.EndDone
+				}
+				return 600 * time.Millisecond, fleet.EndDone
+			}
+			w.play(time.Second)
+			j := simpleJob(1, c.tasks, 1000)
+			j.Steps[0].EstimateMs = 700
+			w.submit(j)
+			w.play(c.within)
+			require.Equal(t, job.Succeeded, w.state(j.ID))
+			sum := 0
+			for _, n := range w.starts {
+				sum += n
+			}
+			require.Equal(t, c.starts, sum)
+		})
+	}
+}
--- a/core/cell/renewal.go
+++ b/core/cell/renewal.go
@@ -130,6 +130,7 @@
 		// The first answer only fences; the next one grants a deadline.
 		x.answeredAt = 0
 	}
+	k.stragglers(x)
 	k.pace(x)
 }
 
@@ -153,6 +154,9 @@
 			r.state = runActive
 			r.settled, r.began = k.now.Mono, k.now.Mono
 		}
+		if r.seen == 0 {
+			r.seen, r.seenPercent = k.now.Mono, a.Percent
+		}
 		if a.Percent != r.percent || r.moved == 0 {
 			r.percent, r.moved = a.Percent, k.now.Mono
 		}
--- a/core/cell/state.go
+++ b/core/cell/state.go
@@ -117,6 +117,9 @@
 	stopSent time.Duration
 	stopped  bool
 	percent  int
+	// seen is when progress was first reported, and seenPercent how much.
+	seen        time.Duration
+	seenPercent int
 	// moved is when the percent last changed.
 	moved time.Duration
 	began time.Duration
--- a/core/event/platform.go
+++ b/core/event/platform.go
@@ -15,6 +15,7 @@
 	RunVacated            Number = 610
 	JobSucceeded          Number = 611
 	JobFailed             Number = 612
+	RunStraggles          Number = 613
 	ExecutorSilent        Number = 621
 	ExecutorAnswers       Number = 622
 	ExecutorAvoided       Number = 623
@@ -72,6 +73,7 @@
 		RunVacated:            "a service run is stopped to empty a VM for its maintenance",
 		JobSucceeded:          "all tasks of a job have ended as done",
 		JobFailed:             "a task of a job failed as often as its queue allows",
+		RunStraggles:          "a run that stands still or is far too slow is stopped to run elsewhere",
 		ExecutorSilent:        "an executor does not answer",
 		ExecutorAnswers:       "an executor answers again",
 		ExecutorAvoided:       "an executor that fails runs gets no work for a while",
@@ -122,6 +124,7 @@
 var warnings = map[Number]bool{
 	RunLost:              true,
 	RunNotWanted:         true,
+	RunStraggles:         true,
 	ExecutorSilent:       true,
 	ExecutorAvoided:      true,
 	SubmissionUncertain:  true,
