--- a/edge/owner.go
+++ b/edge/owner.go
@@ -185,11 +185,14 @@
 		writer:  &writer{store: o.store, codec: o.codec, log: o.log, sequence: claim.sequence, revision: claim.token},
 		deposed: o.lose,
 	}
+	// The kernel may meet a later owner with its first call.
+	losing := make(chan string, 1)
+	o.mu.Lock()
+	o.losing = losing
+	o.mu.Unlock()
 	h.start(o.system)
 	o.mu.Lock()
 	o.host = h
-	o.losing = make(chan string, 4)
-	losing := o.losing
 	o.mu.Unlock()
 	tellOperator(h, o.operatorState())
 	o.log.Event(event.OwnershipBegun, zap.Int64("token", claim.token), zap.Int64("generation", claim.sequence.Generation), zap.Int64("took_ms", (mono()-began).Milliseconds()))
