--- a/core/cell/fake_test.go
+++ b/core/cell/fake_test.go
@@ -28,6 +28,10 @@
 // token, ends its runs at their deadline, and lists ends until acknowledged.
 type fakeExecutor struct {
 	fleet.Executor
+	// loads holds what is reported of tasks, by task.
+	loads map[string]int64
+	// given holds the tickets of the starts, by task.
+	given map[string]string
 	// bootedAt is when its clock began.
 	bootedAt time.Duration
 	token    int64
@@ -94,6 +98,9 @@
 	}
 	require.False(w.t, w.acknowledged[o.Task], "at %v: %s starts after its done end was acknowledged", w.now, o.Task)
 	require.True(w.t, x.used().Add(step.Reserved()).FitsIn(x.Room), "at %v: %s brings %s over its room", w.now, o.Task, x.ID)
+	if o.Ticket != "" {
+		x.given = map[string]string{o.Task: o.Ticket}
+	}
 	took, how := w.taskTime(o.Task, o.Run)
 	x.runs[o.Task] = &fakeRun{task: o.Task, run: o.Run, size: step.Reserved(), begins: w.now, ends: w.now + took, how: how, service: step.Service}
 	w.starts[o.Task]++
@@ -162,7 +169,7 @@
 		})
 	}
 	for _, task := range slices.Sorted(maps.Keys(x.runs)) {
-		s.Active = append(s.Active, fleet.ActiveRun{Task: task, Run: x.runs[task].run, Percent: x.runs[task].percent(w.now)})
+		s.Active = append(s.Active, fleet.ActiveRun{Task: task, Run: x.runs[task].run, Percent: x.runs[task].percent(w.now), Load: x.loads[task]})
 	}
 	s.Ended = append(s.Ended, x.ended...)
 	return s
--- a/core/cell/placement_test.go
+++ b/core/cell/placement_test.go
@@ -232,3 +232,46 @@
 		})
 	}
 }
+
+// TestPacing slows a fill task while the service beside it comes near its target,
+// and lets it work again when there is room.
+func TestPacing(t *testing.T) {
+	w := newWorld(t, 1)
+	w.play(time.Second)
+	j := simpleJob(1, 1, 1000)
+	j.Steps[0].Service, j.Steps[0].TargetMs = true, 100
+	j.Steps = append(j.Steps, job.Step{Count: 1, Service: true, Fills: true, Size: fleet.Vector{CPU: 9000, Mem: 1}})
+	w.submit(j)
+	service, fill := j.ID+".0.0.0", j.ID+".0.1.0"
+	for _, c := range []struct {
+		load int64
+		want func(percent int) bool
+	}{
+		{40, func(p int) bool { return p == 0 && len(w.paces) == 0 }},
+		{90, func(p int) bool { return p > 0 && p <= 50 }},
+		{150, func(p int) bool { return p == 0 && len(w.paces) == 1 }},
+		{70, func(p int) bool { return p == 0 }},
+		{30, func(p int) bool { return p >= 15 && p < 100 }},
+	} {
+		w.executors["e0"].loads = map[string]int64{service: c.load}
+		w.play(1500 * time.Millisecond)
+		require.True(t, c.want(w.paces[fill]), "load %d: pace %d", c.load, w.paces[fill])
+	}
+}
+
+// TestAdvisedQueueNeedsTickets starts a step where the advice service allows it,
+// with the ticket.
+func TestAdvisedQueueNeedsTickets(t *testing.T) {
+	w := newWorld(t, 3)
+	w.config.Queues[0].Advised = true
+	w.play(time.Second)
+	j := simpleJob(1, 1, 1000)
+	w.submit(j)
+	w.play(300 * time.Millisecond)
+	require.Empty(t, w.starts)
+	w.tickets = map[string]string{"e2": "ticket-2"}
+	w.play(700 * time.Millisecond)
+	require.Equal(t, map[string]string{j.ID + ".0.0.0": "ticket-2"}, w.executors["e2"].given)
+	w.play(time.Second)
+	require.Equal(t, job.Succeeded, w.state(j.ID))
+}
--- a/core/cell/world_test.go
+++ b/core/cell/world_test.go
@@ -61,6 +61,10 @@
 	// moved and maintained hold the executors whose VMs were ordered away.
 	moved, maintained map[string]bool
 	orderRecord       cell.OrdersRecord
+	// paces holds the last pace of each fill task, and tickets what the advice
+	// service allows.
+	paces   map[string]int
+	tickets map[string]string
 	// maintains lets orders for maintenance succeed.
 	maintains bool
 	// lastOrder holds who ordered for a VM last, and when.
@@ -137,7 +141,7 @@
 		t: t, now: time.Hour, alive: map[*cell.Kernel]bool{}, executors: map[string]*fakeExecutor{}, specs: map[string]*job.Job{},
 		stored: map[string]job.Progress{}, accepted: map[string]bool{}, verdicts: map[cell.CallID]cell.Answer{},
 		acknowledged: map[string]bool{}, starts: map[string]int{},
-		moved: map[string]bool{}, maintained: map[string]bool{}, lastOrder: map[string]vmOrdered{},
+		paces: map[string]int{}, moved: map[string]bool{}, maintained: map[string]bool{}, lastOrder: map[string]vmOrdered{},
 		taskTime: func(string, int) (time.Duration, fleet.RunEnd) { return 500 * time.Millisecond, fleet.EndDone },
 		orders:   func(string, string) (time.Duration, bool) { return time.Millisecond, true },
 	}
@@ -361,6 +365,13 @@
 				w.tell(k, cell.Stopped{Executor: e.Order.Executor, Task: e.Order.Task, Run: e.Order.Run, Answer: fleet.OrderAnswer{Outcome: fleet.OrderUnknown}})
 			})
 		}
+	case cell.Pace:
+		w.paces[e.Order.Task] = e.Order.Percent
+	case cell.AskAdvice:
+		sent := w.now
+		w.after(20*time.Millisecond, func() {
+			w.tell(k, cell.Advised{Step: e.Step, Asked: e.Executors, Sent: sent, Advice: fleet.Advice{Tickets: w.tickets, ValidMs: 3000}})
+		})
 	case cell.Renew:
 		w.renew(k, e.Order)
 	case cell.MoveVM:
