Take an answered order for a VM for no proof that its executor has ended

Cause, found by the test that changes owners in a wave: a new owner repeats an order that was carried out before; it is answered as done and nothing happens, but the runs at the VM were given up (in a late wave they would run twice) and the executor was forgotten. The list of VMs, or silence, has to tell it now.

--- a/core/cell/kernel_test.go
+++ b/core/cell/kernel_test.go
@@ -266,3 +266,23 @@
 	w.play(3 * time.Second)
 	require.Equal(t, 1, w.starts[j.ID+".0.0.0"])
 }
+
+// TestRepeatedOrderEndsNothing lets a new owner order a maintenance that was done
+// before, in a wave that is late, so that work at the VM does not hold it: the
+// order is answered as done, and the runs there go on.
+func TestRepeatedOrderEndsNothing(t *testing.T) {
+	w := newWorld(t, 2)
+	w.taskTime = func(string, int) (time.Duration, fleet.RunEnd) { return 5 * time.Second, fleet.EndDone }
+	w.maintains = true
+	w.wellKept["vm-e0"], w.wellKept["vm-e1"] = true, true
+	w.play(time.Second)
+	j := simpleJob(1, 2, 5000)
+	j.Steps[0].EstimateMs = 5000
+	w.submit(j)
+	w.play(200 * time.Millisecond)
+	w.step(cell.WavesAsked{Waves: []fleet.Wave{{Number: 1, VMs: []string{"vm-e0", "vm-e1"}, Within: 0.1, Cap: 2}}})
+	w.play(9 * time.Second)
+	require.Len(t, w.maintained, 2)
+	require.Equal(t, job.Succeeded, w.state(j.ID))
+	require.Len(t, w.starts, 2)
+}
--- a/core/cell/vm_order.go
+++ b/core/cell/vm_order.go
@@ -67,12 +67,15 @@
 		return
 	}
 	delete(k.ordered, vm.Name)
+	if x := k.executors[o.executor]; x != nil && vm.Executor == o.executor {
+		x.cordoned = false
+	}
 }
 
 // orderedAway reports whether an executor has ended by an order for its VM.
 func (k *Kernel) orderedAway(x *executor) bool {
 	o, ok := k.ordered[x.vm]
-	return ok && o.answered && o.executor == x.ID
+	return ok && o.answered && o.executor == x.ID && x.absent
 }
 
 // mayOrder reports whether a VM was not refused just now, and no earlier owner
@@ -161,10 +164,9 @@
 		o.answered = true
 		k.ordered[e.VM] = o
 		if x != nil {
-			for _, r := range sortedRuns(x) {
-				k.dropRun(r, "its VM was ordered away")
-			}
-			x.listed = false
+			// The answer may mean that the order was carried out before: only a list
+			// of VMs, or silence, tells that the executor has ended.
+			x.misses = max(x.misses, suspectMisses)
 		}
 		if w != nil {
 			k.finishVM(w, e.VM)
--- a/core/cell/world_test.go
+++ b/core/cell/world_test.go
@@ -60,11 +60,14 @@
 	starts       map[string]int
 	// moved and maintained hold the executors whose VMs were ordered away.
 	moved, maintained map[string]bool
+	waveRecord        cell.WaveProgress
 	orderRecord       cell.OrdersRecord
 	// paces holds the last pace of each fill task, and tickets what the advice
 	// service allows.
 	paces   map[string]int
 	tickets map[string]string
+	// wellKept holds the VMs that had their maintenance.
+	wellKept map[string]bool
 	// maintains lets orders for maintenance succeed.
 	maintains bool
 	// lastOrder holds who ordered for a VM last, and when.
@@ -82,6 +85,12 @@
 
 // maintain takes a VM down for two seconds; its executor comes back as another.
 func (w *world) maintain(k *cell.Kernel, vm string) {
+	if w.wellKept[vm] {
+		// What is done is answered as done, and nothing happens.
+		w.after(time.Millisecond, func() { w.tell(k, cell.VMOrdered{VM: vm, Outcome: fleet.VMOrderDone}) })
+		return
+	}
+	w.wellKept[vm] = true
 	id := strings.TrimPrefix(vm, "vm-")
 	var x *fakeExecutor
 	for i := range w.vms {
@@ -141,7 +150,7 @@
 		t: t, now: time.Hour, alive: map[*cell.Kernel]bool{}, executors: map[string]*fakeExecutor{}, specs: map[string]*job.Job{},
 		stored: map[string]job.Progress{}, accepted: map[string]bool{}, verdicts: map[cell.CallID]cell.Answer{},
 		acknowledged: map[string]bool{}, starts: map[string]int{},
-		paces: map[string]int{}, moved: map[string]bool{}, maintained: map[string]bool{}, lastOrder: map[string]vmOrdered{},
+		paces: map[string]int{}, wellKept: map[string]bool{}, moved: map[string]bool{}, maintained: map[string]bool{}, lastOrder: map[string]vmOrdered{},
 		taskTime: func(string, int) (time.Duration, fleet.RunEnd) { return 500 * time.Millisecond, fleet.EndDone },
 		orders:   func(string, string) (time.Duration, bool) { return time.Millisecond, true },
 	}
@@ -189,6 +198,9 @@
 		w.kernel.Load(&spec, w.stored[id])
 	}
 	w.kernel.LoadOrders(w.orderRecord)
+	if len(w.waveRecord.Done) > 0 {
+		w.kernel.LoadWave(1, w.waveRecord)
+	}
 	w.list()
 	w.step(cell.VMsListed{VMs: w.vms, Asked: w.now})
 }
@@ -414,6 +426,8 @@
 			var j job.Job
 			require.NoError(w.t, json.Unmarshal(data, &j))
 			w.specs[r.Name] = &j
+		case cell.WaveRecord:
+			require.NoError(w.t, json.Unmarshal(data, &w.waveRecord))
 		case cell.VMOrders:
 			require.NoError(w.t, json.Unmarshal(data, &w.orderRecord))
 		case cell.ProgressRecord:
