Hold the wait for an earlier owner's stops by a test of its own

With the progress of waves kept in its world, the test that changes owners did not meet the moment any more; this one does, and fails without the wait.

--- a/core/cell/placement_test.go
+++ b/core/cell/placement_test.go
@@ -287,3 +287,37 @@
 	w.play(time.Second)
 	require.Equal(t, job.Succeeded, w.state(j.ID))
 }
+
+// TestNextOwnerWaitsForStops changes owners right after a service run was told to
+// stop, which the next one sees at work: it stops no other of the step before that
+// has ended (AVAIL, trouble-2 with seed 815991105064 of sellocant-jw).
+func TestNextOwnerWaitsForStops(t *testing.T) {
+	w := newWorld(t, 4)
+	w.play(1500 * time.Millisecond)
+	j := simpleJob(1, 4, 3000)
+	j.Steps[0].Service, j.Steps[0].MaxUnavailable = true, 1
+	w.submit(j)
+	w.play(time.Second)
+	waves := cell.WavesAsked{Waves: []fleet.Wave{{Number: 1, VMs: []string{"vm-e0", "vm-e1", "vm-e2", "vm-e3"}, Within: 60, Cap: 4}}}
+	w.step(waves)
+	stopping := func() int {
+		n := 0
+		for _, x := range w.executors {
+			for _, r := range x.runs {
+				if r.how == fleet.EndStopped {
+					n++
+				}
+			}
+		}
+		return n
+	}
+	for stopping() == 0 {
+		w.play(testStep)
+	}
+	w.claim()
+	w.step(waves)
+	for range 100 {
+		w.play(testStep)
+		require.LessOrEqual(t, stopping(), 1, "at %v", w.now)
+	}
+}
