Make the test of an earlier owner's stops meet the moment

It looks at the VMs in another order now, and the test fails without the wait (2 runs being stopped at once) and passes with it.

--- a/core/cell/placement_test.go
+++ b/core/cell/placement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -315,6 +316,8 @@
 		w.play(testStep)
 	}
 	w.claim()
+	// The next owner looks at the VMs in another order.
+	slices.Reverse(waves.Waves[0].VMs)
 	w.step(waves)
 	for range 100 {
 		w.play(testStep)
