--- a/core/cell/executors.go
+++ b/core/cell/executors.go
@@ -54,7 +54,6 @@
 	x.born, x.fenced = born, false
 	x.ackSeq, x.seenSeq, x.clock, x.granted = 0, 0, 0, 0
 	x.failures, x.knownSince = 0, k.now.Mono
-	x.renewedAt = 0
 }
 
 // regressSlack covers the way of an answer and the drift of an executor's clock.
--- a/core/cell/recover.go
+++ b/core/cell/recover.go
@@ -17,7 +17,6 @@
 	if p.State.Ended() {
 		return
 	}
-	j.recovered = true
 	for _, tp := range p.Tasks {
 		s := j.stepAt(tp.Occurrence, tp.Step)
 		if s == nil || tp.Index < 0 || tp.Index >= len(s.tasks) {
--- a/core/cell/renewal.go
+++ b/core/cell/renewal.go
@@ -50,7 +50,6 @@
 			continue
 		}
 		x.renewing = true
-		x.renewedAt = k.now.Mono
 		order := fleet.Renewal{
 			Address: x.Address, Executor: x.ID, Token: k.Token,
 			Acknowledged: x.ackSeq, WaitMs: wait, DeadlineMs: k.deadline(x),
--- a/core/cell/runs.go
+++ b/core/cell/runs.go
@@ -285,7 +285,6 @@
 	if x != nil {
 		t.failedOn = x.ID
 		x.failures++
-		x.failedAt = k.now.Mono
 		if x.failures >= failStreak {
 			x.avoid = k.now.Mono + avoidFor
 			k.log(event.ExecutorAvoided, "executor", x.ID, "failures", x.failures)
--- a/core/cell/state.go
+++ b/core/cell/state.go
@@ -19,8 +19,6 @@
 	// started says that a task has begun.
 	started bool
 	endedMs int64
-	// recovered says that an earlier owner may know of the job.
-	recovered bool
 	// arrived is when the objective began to count.
 	arrived time.Duration
 	// due is when the latency objective passes.
@@ -157,14 +155,12 @@
 	ackSeq     int64
 	seenSeq    int64
 	renewing   bool
-	renewedAt  time.Duration
 	answeredAt time.Duration
 	// reachedAt is when the executor last answered a call.
 	reachedAt time.Duration
 	misses    int
 	// failures counts failed runs since the last success.
 	failures  int
-	failedAt  time.Duration
 	succeeded time.Duration
 	avoid     time.Duration
 	vm        string
