Send calls to the store again that stay silent

Now a call without an answer is sent again after six times the usual latency, 100 to 300 ms, three times at most; refusals and failures are not repeated. A claim whose answer was lost is known by the record that the conflict shows.

--- /dev/null
+++ b/edge/hedge.go
@@ -0,0 +1,94 @@
+package edge
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"jacinthwind/core"
+)
+
+// Hedging limits.
+const (
+	// hedgeTries is how often a call is sent at most while no answer comes.
+	hedgeTries = 3
+	// hedgeFactor times the usual latency is when a call is sent again; the least
+	// covers pauses of the process itself, the most is half of directWithin, so
+	// that a slow store is not asked three times for each call.
+	hedgeFactor = 6
+	minHedge    = 100 * time.Millisecond
+	maxHedge    = 300 * time.Millisecond
+	// latencyWeight is the weight of one answer in the usual latency.
+	latencyWeight = 0.25
+)
+
+// carrier sends a call to the store.
+type carrier func(ctx context.Context, c core.StoreCall) (int, []byte, error)
+
+// hedge sends calls again that get no answer within a few times the usual
+// latency, since a store may lose answers while it serves. All calls are
+// conditional or harmless when repeated. Its zero value is ready for use.
+type hedge struct {
+	mu sync.Mutex
+	// usual is the weighted mean latency of answered calls.
+	usual time.Duration
+}
+
+// tryResult is what one try of a call brought.
+type tryResult struct {
+	status int
+	data   []byte
+	err    error
+	took   time.Duration
+}
+
+// pause returns when a call without an answer is sent again.
+func (h *hedge) pause() time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return min(max(hedgeFactor*h.usual, minHedge), maxHedge)
+}
+
+func (h *hedge) observe(latency time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.usual += time.Duration(latencyWeight * float64(latency-h.usual))
+}
+
+// carry sends a call until the store serves it, all tries have failed, or ctx
+// ends. A try that failed is not repeated here: only silence is.
+func (h *hedge) carry(ctx context.Context, send carrier, c core.StoreCall) (int, []byte, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan tryResult, hedgeTries)
+	try := func() {
+		began := mono()
+		status, data, err := send(ctx, c)
+		results <- tryResult{status, data, err, mono() - began}
+	}
+	go try()
+	tries, failed := 1, 0
+	pause := h.pause()
+	t := time.NewTimer(pause)
+	defer t.Stop()
+	for {
+		select {
+		case r := <-results:
+			if served(r.status, r.err) {
+				h.observe(r.took)
+				return r.status, r.data, nil
+			}
+			if failed++; failed == tries {
+				return r.status, r.data, r.err
+			}
+		case <-t.C:
+			if tries < hedgeTries {
+				tries++
+				go try()
+				t.Reset(pause)
+			}
+		case <-ctx.Done():
+			return 0, nil, ctx.Err()
+		}
+	}
+}
--- a/edge/owner.go
+++ b/edge/owner.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -251,10 +252,13 @@
 	next := sequenceRecord{Generation: sequence.Generation + 1}
 	record := o.self
 	record.Generation = next.Generation
-	token, _, err := o.store.Commit(ctx, core.Transaction{
+	token, items, err := o.store.Commit(ctx, core.Transaction{
 		Expect: []core.Condition{{Key: keyOwner, Revision: expected}, {Key: keySequence, Revision: revision}},
 		Puts:   []core.Put{{Key: keyOwner, Value: encode(record), Lease: lease}, {Key: keySequence, Value: encode(next)}},
 	})
+	if errors.Is(err, core.ErrConflict) {
+		token, err = claimedBefore(items, record)
+	}
 	if err != nil {
 		// An answer that is lost leaves a record that vanishes with the lease.
 		_ = o.store.EndLease(ctx, lease)
@@ -263,6 +267,17 @@
 	return claimed{lease: lease, token: token, sequence: next, until: sent + ownerTTL - leaseMargin}, nil
 }
 
+// claimedBefore tells from the items of a refused claim whether an earlier try
+// with the same record, whose answer was lost, was done; it returns its token.
+func claimedBefore(items []core.Item, record ownerRecord) (int64, error) {
+	for _, item := range items {
+		if item.Key == keyOwner && bytes.Equal(item.Value, encode(record)) {
+			return item.Revision, nil
+		}
+	}
+	return 0, core.ErrConflict
+}
+
 func (o *owner) readSequence(ctx context.Context) (sequenceRecord, int64, error) {
 	item, err := o.store.Get(ctx, keySequence)
 	if errors.Is(err, core.ErrNotFound) {
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -45,6 +45,7 @@
 	probeAt time.Time
 	// answered is when the store last answered, in nanoseconds of mono.
 	answered atomic.Int64
+	hedge    hedge
 }
 
 // Carry sends a call to the store by whichever way is open.
@@ -116,12 +117,12 @@
 }
 
 func (r *Relay) callDirect(ctx context.Context, c core.StoreCall) (int, []byte, error) {
-	if !c.Waits {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, directWithin)
-		defer cancel()
+	if c.Waits {
+		return r.Direct(ctx, c)
 	}
-	return r.Direct(ctx, c)
+	ctx, cancel := context.WithTimeout(ctx, directWithin)
+	defer cancel()
+	return r.hedge.carry(ctx, r.Direct, c)
 }
 
 func (r *Relay) callPeer(ctx context.Context, peer string, c core.StoreCall) (int, []byte, error) {
