Count failures that are heard of beside a later run, and those of a gang together

Now such a failure counts, and ends the job at its last attempt. A gang's failures count together, as the interface says. TestFailureBesideALaterRunIsCounted failed before.

--- a/core/cell/kernel_test.go
+++ b/core/cell/kernel_test.go
@@ -243,6 +243,35 @@
 	require.Equal(t, 1, w.starts[task])
 }
 
+// TestFailureBesideALaterRunIsCounted replays owners-change on zkw-tarcza without
+// fences: the next owner took over a run that was under way, and then heard of the
+// failure of the run before it, which was not stored and which it passed over.
+func TestFailureBesideALaterRunIsCounted(t *testing.T) {
+	for name, later := range map[string]fleet.RunEnd{"the later run fails": fleet.EndFailed, "the later run succeeds": fleet.EndDone} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 2)
+			w.play(time.Second)
+			j := simpleJob(1, 1, 1000)
+			w.submit(j)
+			w.play(100 * time.Millisecond)
+			for _, x := range w.executors {
+				clear(x.runs)
+			}
+			task := j.ID + ".0.0.0"
+			w.executors["e0"].runs[task] = &fakeRun{task: task, run: 2, size: j.Steps[0].Size, ends: w.now + 500*time.Millisecond, how: later}
+			w.executors["e1"].ended = []fleet.EndedRun{{Number: 9, Task: task, Run: 1, How: fleet.EndFailed}}
+			w.claim()
+			w.play(3 * time.Second)
+			want := job.Failed
+			if later == fleet.EndDone {
+				want = job.Succeeded
+			}
+			require.Equal(t, want, w.state(j.ID))
+			require.Equal(t, 1, w.starts[task])
+		})
+	}
+}
+
 // TestOldListOfVMsProvesNothing replays fresh-c05f of sellocant-jw-grown: the
 // answer to an earlier question did not name the VM of a new executor yet, whose
 // runs were given up and started elsewhere while they went on.
--- a/core/cell/runs.go
+++ b/core/cell/runs.go
@@ -155,7 +155,11 @@
 		return
 	}
 	t := &s.tasks[id.Index]
-	if t.state != taskWaiting || t.knows(e) {
+	if t.knows(e) {
+		return
+	}
+	if t.state != taskWaiting {
+		k.failedBefore(s, id.Index, e)
 		return
 	}
 	t.state = taskPlaced
@@ -164,6 +168,49 @@
 	k.settleEnd(s, id.Index, nil, e)
 }
 
+// failedBefore counts the failure of an earlier run of a task whose later run is at
+// work: a new owner may hear of the later one first.
+func (k *Kernel) failedBefore(s *stepRun, index int, e fleet.EndedRun) {
+	t := &s.tasks[index]
+	if t.state != taskPlaced || e.How != fleet.EndFailed || s.Service {
+		return
+	}
+	k.log(event.RunEnded, "task", e.Task, "run", e.Run, "how", e.How)
+	t.ended, t.endedRun = true, max(t.endedRun, e.Run)
+	t.failed = append(t.failed, e.Run)
+	if s.failures(index) >= s.job.attempts() {
+		k.failJob(s, index)
+	}
+	k.touch(s.job)
+}
+
+// failures returns how often a task has failed, or the gang that it belongs to,
+// since one member's failure ends the runs of all.
+func (s *stepRun) failures(index int) int {
+	if !s.Gang {
+		return len(s.tasks[index].failed)
+	}
+	n := 0
+	for i := range s.tasks {
+		n += len(s.tasks[i].failed)
+	}
+	return n
+}
+
+// attempts returns how often a task of a job may fail.
+func (j *jobState) attempts() int {
+	if j.queue == nil {
+		return 1
+	}
+	return max(j.queue.Attempts, 1)
+}
+
+// failJob ends a job by a task that has failed as often as it may.
+func (k *Kernel) failJob(s *stepRun, index int) {
+	k.log(event.JobFailed, "job", s.job.ID, "step", s.index, "task", index, "failures", s.failures(index))
+	k.endJob(s.job, job.Failed)
+}
+
 // knows reports whether an end was taken before: ends are listed again until
 // they are acknowledged, and executors answer in any order.
 func (t *task) knows(e fleet.EndedRun) bool {
@@ -290,14 +337,9 @@
 			k.log(event.ExecutorAvoided, "executor", x.ID, "failures", x.failures)
 		}
 	}
-	attempts := 1
-	if q := s.job.queue; q != nil {
-		attempts = max(q.Attempts, 1)
-	}
-	if !s.Service && len(t.failed) >= attempts {
+	if !s.Service && s.failures(index) >= s.job.attempts() {
 		t.state = taskFailed
-		k.log(event.JobFailed, "job", s.job.ID, "step", s.index, "task", index, "failures", len(t.failed))
-		k.endJob(s.job, job.Failed)
+		k.failJob(s, index)
 		return
 	}
 	pause := min(firstFailPause<<min(len(t.failed)-1, 5), maxFailPause)
