Order and lend by when occurrences of scheduled jobs are due

Later occurrences were ordered by the objective of the first, as late ones, behind all other work; all future occurrences counted as work that needs VMs at once; none counted as work that goes before a new job. Now each occurrence has an objective of its own, and counts as work when it is due, for lending by the time of a move before. Both new tests failed before.

--- a/core/cell/lend.go
+++ b/core/cell/lend.go
@@ -144,7 +144,7 @@
 		}
 	}
 	for _, s := range p.ready {
-		if s.job.state.Ended() {
+		if s.job.state.Ended() || !k.isDue(s, k.Move+lendAhead) {
 			continue
 		}
 		if s.Service {
--- a/core/cell/placement_test.go
+++ b/core/cell/placement_test.go
@@ -109,6 +109,34 @@
 	}
 }
 
+// TestLaterOccurrenceIsNotLate replays a variant of zkw-tarcza with scheduled jobs:
+// their later occurrences were ordered by the objective of the first, as late ones,
+// behind all that was handed in since.
+func TestLaterOccurrenceIsNotLate(t *testing.T) {
+	w := newWorld(t, 1)
+	w.play(time.Second)
+	j := simpleJob(1, 1, 8000)
+	j.Times, j.StartMs, j.IntervalMs = 2, w.now.Milliseconds(), 8000
+	w.submit(j)
+	w.play(7 * time.Second)
+	for n := range 13 {
+		w.submit(simpleJob(n+2, 1, 8000))
+		w.play(300 * time.Millisecond)
+	}
+	require.Equal(t, 1, w.starts[j.ID+".1.0.0"], "the occurrence did not start within its objective of 3 s")
+}
+
+// TestFarOccurrencesHoldNoVMs lets a large job be due in a minute: until shortly
+// before, the VMs that it will need are idle, and are parked.
+func TestFarOccurrencesHoldNoVMs(t *testing.T) {
+	w := newWorld(t, 6)
+	j := simpleJob(1, 10, 4000)
+	j.Times, j.StartMs, j.IntervalMs = 2, (w.now + time.Minute).Milliseconds(), 1000
+	w.submit(j)
+	w.play(3 * time.Second)
+	require.NotEmpty(t, w.moved)
+}
+
 // TestOccurrencesStartAtTheirTimes follows a job of three occurrences.
 func TestOccurrencesStartAtTheirTimes(t *testing.T) {
 	w := newWorld(t, 2)
--- a/core/cell/schedule.go
+++ b/core/cell/schedule.go
@@ -55,7 +55,7 @@
 		if s.done == s.Count || s.job.state.Ended() {
 			return true
 		}
-		if s.waiting > 0 && s.notBefore <= k.now.UnixMs {
+		if s.waiting > 0 && k.isDue(s, 0) {
 			found = append(found, s)
 		}
 		return false
@@ -70,7 +70,7 @@
 	return cmp.Or(
 		cmp.Compare(a.rank(), b.rank()),
 		cmp.Compare(k.lateness(a), k.lateness(b)),
-		cmp.Compare(a.job.due-a.tail, b.job.due-b.tail),
+		cmp.Compare(a.due-a.tail, b.due-b.tail),
 	)
 }
 
@@ -86,9 +86,9 @@
 	return 0
 }
 
-// lateness is 1 for a job whose objective cannot be met any more.
+// lateness is 1 for a step whose objective cannot be met any more.
 func (k *Kernel) lateness(s *stepRun) int {
-	if k.now.Mono+s.tail > s.job.due {
+	if k.now.Mono+s.tail > s.due {
 		return 1
 	}
 	return 0
--- a/core/cell/state.go
+++ b/core/cell/state.go
@@ -21,7 +21,7 @@
 	endedMs int64
 	// arrived is when the objective began to count.
 	arrived time.Duration
-	// due is when the latency objective passes.
+	// due is when the latency objective passes, that of the first occurrence.
 	due   time.Duration
 	steps []*stepRun
 	open  int
@@ -48,6 +48,8 @@
 	readyAt  time.Duration
 	// notBefore is the Unix time in ms of a scheduled occurrence.
 	notBefore int64
+	// due is when the latency objective of the job or the occurrence passes.
+	due time.Duration
 	active    bool
 	// tail is the estimated time from the step's begin to the job's end.
 	tail time.Duration
--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -92,9 +92,20 @@
 			left += j.left
 		}
 	}
+	// Of scheduled jobs only the occurrences that are due compete.
+	for _, s := range k.pool(queue.Pool).ready {
+		if s.job.Times > 0 && k.isDue(s, 0) && s.due <= due {
+			left += int64(s.waiting) * s.Size.CPU * s.EstimateMs
+		}
+	}
 	return float64(left) / coreSecond
 }
 
+// isDue reports whether a step may start within a time.
+func (k *Kernel) isDue(s *stepRun, within time.Duration) bool {
+	return s.notBefore <= k.now.UnixMs+within.Milliseconds()
+}
+
 // coreSecond is a core-second in thousandths of a core times ms.
 const coreSecond = 1e6
 
@@ -165,7 +176,8 @@
 	age := time.Duration(max(k.now.UnixMs-spec.AcceptedMs, 0)) * time.Millisecond
 	j := &jobState{Job: spec, state: p.State, visible: p.State, queue: queue, endedMs: p.EndedMs}
 	j.arrived = k.now.Mono - age
-	j.due = j.arrived + objectiveOf(queue, spec.Chain())
+	objective := objectiveOf(queue, spec.Chain())
+	j.due = j.arrived + objective
 	k.jobs[spec.ID] = j
 	if p.State.Ended() {
 		j.stored, j.started = true, true
@@ -175,11 +187,12 @@
 	for occ := range spec.Occurrences() {
 		first := len(j.steps)
 		for i := range spec.Steps {
-			s := &stepRun{job: j, k: occ, index: i, Step: &spec.Steps[i], tail: tails[i]}
+			s := &stepRun{job: j, k: occ, index: i, Step: &spec.Steps[i], tail: tails[i], due: j.due}
 			s.tasks = make([]task, s.Count)
 			s.waiting = s.Count
 			if spec.Times > 0 {
 				s.notBefore = spec.StartMs + int64(occ)*spec.IntervalMs
+				s.due = k.now.Mono + time.Duration(s.notBefore-k.now.UnixMs)*time.Millisecond + objective
 			}
 			j.steps = append(j.steps, s)
 		}
@@ -192,7 +205,7 @@
 		k.depth[spec.Queue]++
 	}
 	j.left = spec.Work()
-	if j.left > 0 {
+	if j.left > 0 && spec.Times == 0 {
 		k.pool(spec.Pool).jobs[spec.ID] = j
 	}
 	return j
