Lend and admit by the labels that work requires; finish what is late

Now pools are planned in cores and by labels, racks of data are preferred, a job is admitted by the executors that have its labels, and work that is 10 s late goes first.

--- a/core/cell/dump.go
+++ b/core/cell/dump.go
@@ -7,6 +7,7 @@
 
 	"jacinthwind/core/fleet"
 	"jacinthwind/core/job"
+	"jacinthwind/core/lending"
 )
 
 // Dump is the kernel's state for people; it holds no key and nothing of a
@@ -101,7 +102,9 @@
 	}
 	for _, name := range slices.Sorted(maps.Keys(k.pools)) {
 		p := k.pools[name]
-		d.Pools = append(d.Pools, PoolDump{name, p.demand.Rate(now.Mono), k.coresNeeded(name), len(p.ready), len(p.jobs)})
+		need := lending.Pool{Name: name}
+		k.describeNeed(&need)
+		d.Pools = append(d.Pools, PoolDump{name, p.demand.Rate(now.Mono), need.Cores, len(p.ready), len(p.jobs)})
 	}
 	for _, x := range k.sorted() {
 		d.Executors = append(d.Executors, k.dumpExecutor(x))
--- a/core/cell/kernel.go
+++ b/core/cell/kernel.go
@@ -7,6 +7,7 @@
 
 	"jacinthwind/core/event"
 	"jacinthwind/core/fleet"
+	"jacinthwind/core/lending"
 )
 
 // Settings are the bounds that the platform promises or asks for.
@@ -94,8 +95,8 @@
 	// orderBudget is how many orders for VMs may be sent now.
 	orderBudget   float64
 	orderBudgetAt time.Duration
-	// lendable counts the VMs that are off and could be lent.
-	lendable int
+	// lendable holds the VMs that are off and could be lent.
+	lendable []lending.VM
 	// refusals holds when a refused job was first handed in.
 	refusals map[string]time.Duration
 }
--- a/core/cell/lend.go
+++ b/core/cell/lend.go
@@ -36,21 +36,21 @@
 		k.poolsLogged = k.now.Mono
 		for i := range pools {
 			p := &pools[i]
-			k.log(event.PoolPlanned, "pool", p.Name, "vms", p.VMs, "idle", len(p.Idle), "cores", int(p.Cores), "target", p.Target(cores))
+			k.log(event.PoolPlanned, "pool", p.Name, "vms", p.VMs, "idle", len(p.Idle), "cores", int(p.Cores), "target", p.Target(cores), "wants", p.Describe())
 		}
 	}
-	k.lendable = 0
+	k.lendable = nil
 	for i := range pools {
 		if pools[i].Spare {
-			k.lendable += len(pools[i].Idle)
+			k.lendable = append(k.lendable, pools[i].Idle...)
 		}
 	}
-	for _, m := range lending.Plan(pools, cores) {
+	for _, m := range lending.Plan(pools) {
 		if !k.mayOrderNow() {
 			return
 		}
 		if k.config.PoolIsSpare(k.vms[m.VM].Pool) {
-			k.lendable--
+			k.lendable = slices.DeleteFunc(k.lendable, func(vm lending.VM) bool { return vm.Name == m.VM })
 		}
 		k.orderMove(m.VM, m.Pool)
 	}
@@ -64,10 +64,15 @@
 		byName[p.Name] = &lending.Pool{Name: p.Name, Spare: p.Spare}
 		order = append(order, p.Name)
 	}
+	for _, name := range order {
+		if p := byName[name]; !p.Spare {
+			k.describeNeed(p)
+		}
+	}
 	var cores float64
 	for _, name := range slices.Sorted(maps.Keys(k.vms)) {
 		vm := k.vms[name]
-		cores = max(cores, float64(vm.Room.CPU)/1000)
+		cores = max(cores, coresOf(vm))
 		home := vm.Pool
 		o, moving := k.ordered[name]
 		if moving && o.pool != "" {
@@ -80,16 +85,10 @@
 		x := k.executors[vm.Executor]
 		idle, able := k.idleFor(vm, x)
 		if moving || able {
-			p.VMs++
+			countVM(p, vm)
 		}
 		if !moving && idle > 0 && vm.State == fleet.VMUp && !k.heldByWave(name, p.Spare) && k.mayOrder(name) {
-			p.Idle = append(p.Idle, lending.VM{Name: name, Idle: idle})
-		}
-	}
-	for _, name := range order {
-		if p := byName[name]; !p.Spare {
-			p.Cores = k.coresNeeded(name)
-			p.Floor = k.floor(name)
+			p.Idle = append(p.Idle, lending.VM{Name: name, Idle: idle, Cores: coresOf(vm), Labels: vm.Labels})
 		}
 	}
 	var pools []lending.Pool
@@ -100,6 +99,19 @@
 	return pools, cores
 }
 
+func coresOf(vm fleet.VM) float64 { return float64(vm.Room.CPU) / 1000 }
+
+// countVM counts a VM among those that a pool has.
+func countVM(p *lending.Pool, vm fleet.VM) {
+	p.VMs++
+	p.Room += coresOf(vm)
+	for i := range p.Wants {
+		if slices.Contains(vm.Labels, p.Wants[i].Label) {
+			p.Wants[i].Have += coresOf(vm)
+		}
+	}
+}
+
 // idleFor returns for how long a VM has had no work, zero where it has some,
 // and whether it can serve.
 func (k *Kernel) idleFor(vm fleet.VM, x *executor) (time.Duration, bool) {
@@ -126,35 +138,58 @@
 	return false
 }
 
-// coresNeeded returns the processors that a pool needs now or when a VM that is
-// ordered now could serve.
-func (k *Kernel) coresNeeded(name string) float64 {
-	p := k.pool(name)
-	var service, running, waiting int64
-	for _, x := range k.executors {
-		if x.Pool != name {
+// describeNeed fills in what a pool needs now or when a VM that is ordered now could
+// serve.
+func (k *Kernel) describeNeed(p *lending.Pool) {
+	var service, running, waiting float64
+	wants := map[string]*lending.Want{}
+	add := func(label string, required bool, cores float64) {
+		if label == "" || cores == 0 {
+			return
+		}
+		if wants[label] == nil {
+			wants[label] = &lending.Want{Label: label}
+		}
+		wants[label].Cores += cores
+		wants[label].Required = wants[label].Required || required
+	}
+	want := func(s *stepRun, cores float64) {
+		add(s.Label, true, cores)
+		// The rack of the data only saves time.
+		add(s.Rack, false, cores)
+	}
+	for _, x := range k.sorted() {
+		if x.Pool != p.Name {
 			continue
 		}
 		for _, r := range x.runs {
+			cores := float64(r.reserved.CPU) / 1000
 			if r.step.Service {
-				service += r.reserved.CPU
+				service += cores
 			} else {
-				running += r.reserved.CPU
+				running += cores
 			}
+			want(r.step, cores)
 		}
 	}
-	for _, s := range p.ready {
+	for _, s := range k.pool(p.Name).ready {
 		if s.job.state.Ended() || !k.isDue(s, k.Move+lendAhead) {
 			continue
 		}
+		cores := float64(int64(s.waiting)*s.Reserved().CPU) / 1000
 		if s.Service {
-			service += int64(s.waiting) * s.Reserved().CPU
+			service += cores
 		} else {
-			waiting += int64(s.waiting) * s.Size.CPU
+			cores *= waitingShare
+			waiting += cores
 		}
+		want(s, cores)
+	}
+	p.Cores = service + max(running+waiting, k.pool(p.Name).demand.Rate(k.now.Mono))
+	p.Floor = k.floor(p.Name)
+	for _, label := range slices.Sorted(maps.Keys(wants)) {
+		p.Wants = append(p.Wants, *wants[label])
 	}
-	present := float64(running)/1000 + waitingShare*float64(waiting)/1000
-	return float64(service)/1000 + max(present, p.demand.Rate(k.now.Mono))
 }
 
 // mayOrderNow reports whether the platform takes one more order for a VM now, and
--- a/core/cell/schedule.go
+++ b/core/cell/schedule.go
@@ -16,6 +16,9 @@
 	minLease = 500 * time.Millisecond
 	// provenFor is how long a success speaks for an executor.
 	provenFor = 5 * time.Second
+	// starving is how late a step may become while others that can be in time go
+	// before it: what is accepted is finished.
+	starving = 10 * time.Second
 	// maxTogether is how many service tasks of a step share an executor while
 	// there are others.
 	maxTogether = 2
@@ -86,9 +89,10 @@
 	return 0
 }
 
-// lateness is 1 for a step whose objective cannot be met any more.
+// lateness is 1 for a step whose objective cannot be met any more, until it has
+// waited so long that it goes before all others of its priority.
 func (k *Kernel) lateness(s *stepRun) int {
-	if k.now.Mono+s.tail > s.due {
+	if late := k.now.Mono + s.tail - s.due; late > 0 && late < starving {
 		return 1
 	}
 	return 0
--- a/core/cell/state.go
+++ b/core/cell/state.go
@@ -49,8 +49,8 @@
 	// notBefore is the Unix time in ms of a scheduled occurrence.
 	notBefore int64
 	// due is when the latency objective of the job or the occurrence passes.
-	due time.Duration
-	active    bool
+	due    time.Duration
+	active bool
 	// tail is the estimated time from the step's begin to the job's end.
 	tail time.Duration
 	// tickets are what the advice service allows, by executor.
--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"time"
 
 	"jacinthwind/core/event"
@@ -58,7 +59,7 @@
 // admit decides whether a job that was first handed in at a time can be done
 // within its latency objective.
 func (k *Kernel) admit(j *job.Job, queue *fleet.Queue, first time.Duration) Answer {
-	c := k.capacity(queue.Pool)
+	c := k.capacity(queue.Pool, "")
 	for i := range j.Steps {
 		if r := j.Steps[i].Reserved(); !r.FitsIn(c.largest) && c.largest != (fleet.Vector{}) {
 			return Answer{Verdict: Unservable, Reason: "a task is larger than every executor"}
@@ -67,12 +68,16 @@
 	if j.Lasting() || j.Times > 0 {
 		return Answer{Verdict: Accepted}
 	}
-	if c.now+c.later <= 0 {
-		return Answer{Verdict: Refused, RetryAfter: maxRetryAfter, Reason: "no executor to serve the queue"}
-	}
 	chain := j.Chain()
 	due := first + objectiveOf(queue, chain)
-	wait := c.wait(k.ahead(queue, due), k.Move+lendAhead)
+	var wait time.Duration
+	for _, label := range labelsOf(j) {
+		c := k.capacity(queue.Pool, label)
+		if c.now+c.later <= 0 {
+			return Answer{Verdict: Refused, RetryAfter: maxRetryAfter, Reason: "no executor to serve the queue"}
+		}
+		wait = max(wait, c.wait(k.ahead(queue, due, label), k.Move+lendAhead))
+	}
 	late := k.now.Mono + wait + chain - due
 	if late <= 0 {
 		return Answer{Verdict: Accepted}
@@ -83,18 +88,29 @@
 	}
 }
 
+// labelsOf returns the labels that a job's steps require, and none for the rest.
+func labelsOf(j *job.Job) []string {
+	labels := []string{""}
+	for i := range j.Steps {
+		if l := j.Steps[i].Label; !slices.Contains(labels, l) {
+			labels = append(labels, l)
+		}
+	}
+	return labels
+}
+
 // ahead returns the work in core-seconds that goes before a job that is due at a
-// time.
-func (k *Kernel) ahead(queue *fleet.Queue, due time.Duration) float64 {
+// time: all of its pool, or what requires a label.
+func (k *Kernel) ahead(queue *fleet.Queue, due time.Duration, label string) float64 {
 	var left int64
 	for _, j := range k.pool(queue.Pool).jobs {
 		if j.queue == nil || j.queue.Priority < queue.Priority || (j.queue.Priority == queue.Priority && j.due <= due) {
-			left += j.left
+			left += j.leftWith(label)
 		}
 	}
 	// Of scheduled jobs only the occurrences that are due compete.
 	for _, s := range k.pool(queue.Pool).ready {
-		if s.job.Times > 0 && k.isDue(s, 0) && s.due <= due {
+		if s.job.Times > 0 && k.isDue(s, 0) && s.due <= due && (label == "" || s.Label == label) {
 			left += int64(s.waiting) * s.Size.CPU * s.EstimateMs
 		}
 	}
@@ -137,12 +153,27 @@
 // not keep a new task waiting: half of a usual run.
 const overlap = 0.3
 
-// capacity returns what a pool can give.
-func (k *Kernel) capacity(pool string) capacity {
+// leftWith returns the work that is left: all, or what requires a label.
+func (j *jobState) leftWith(label string) int64 {
+	if label == "" {
+		return j.left
+	}
+	var left int64
+	for _, s := range j.steps {
+		if s.Label == label && !s.Service && !s.Fills {
+			left += int64(s.Count-s.done) * s.Size.CPU * s.EstimateMs
+		}
+	}
+	return left
+}
+
+// capacity returns what a pool can give, by executors with a label where one is
+// named.
+func (k *Kernel) capacity(pool, label string) capacity {
 	var c capacity
 	for _, x := range k.executors {
 		c.largest = fleet.Vector{CPU: max(c.largest.CPU, x.Room.CPU), Mem: max(c.largest.Mem, x.Room.Mem), GPU: max(c.largest.GPU, x.Room.GPU)}
-		if x.Pool != pool || !k.usable(x) {
+		if x.Pool != pool || !k.usable(x) || (label != "" && !x.HasLabel(label)) {
 			continue
 		}
 		cores := x.Room.CPU
@@ -153,13 +184,16 @@
 		}
 		c.now += float64(cores) / 1000
 	}
-	vm := float64(c.largest.CPU) / 1000
-	for _, o := range k.ordered {
-		if o.pool == pool {
-			c.later += vm
+	for name, o := range k.ordered {
+		if vm := k.vms[name]; o.pool == pool && (label == "" || slices.Contains(vm.Labels, label)) {
+			c.later += coresOf(vm)
+		}
+	}
+	for _, vm := range k.lendable {
+		if label == "" || slices.Contains(vm.Labels, label) {
+			c.later += vm.Cores
 		}
 	}
-	c.later += float64(k.lendable) * vm
 	return c
 }
 
--- a/core/lending/plan.go
+++ b/core/lending/plan.go
@@ -2,8 +2,10 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -21,20 +23,37 @@
 	Name string
 	// Idle is for how long it has had no work.
 	Idle time.Duration
+	// Cores is what it gives.
+	Cores float64
+	// Labels name its kind and its rack.
+	Labels []string
+}
+
+// Want is work that needs VMs with a label.
+type Want struct {
+	Label string
+	// Cores is what the work needs, and Have what the pool has with the label.
+	Cores, Have float64
+	// Required says that no other VM can do the work; else it takes longer there.
+	Required bool
 }
 
 // Pool is what is known of a pool.
 type Pool struct {
 	Name  string
 	Spare bool
-	// VMs counts those that work for the pool or are on their way to it.
-	VMs int
+	// VMs counts those that work for the pool or are on their way to it, and Room
+	// is what they give in cores.
+	VMs  int
+	Room float64
 	// Idle lists those that may be taken.
 	Idle []VM
 	// Cores is what the pool's work needs now or soon.
 	Cores float64
 	// Floor is how many VMs the pool keeps in any case.
 	Floor int
+	// Wants lists the work that needs or prefers a label.
+	Wants []Want
 }
 
 // Move sends a VM to a pool.
@@ -43,7 +62,7 @@
 	Pool string
 }
 
-// Target returns how many VMs a pool should have.
+// Target returns how many usual VMs a pool should have.
 func (p *Pool) Target(coresPerVM float64) int {
 	if p.Spare || coresPerVM <= 0 {
 		return 0
@@ -51,21 +70,109 @@
 	return max(p.Floor, int(math.Ceil(p.Cores/(coresPerVM*packing))))
 }
 
-// Plan returns the moves that bring the pools nearest to their targets; the pool
-// that lacks the largest part of its target is served first. Only idle VMs move.
-func Plan(pools []Pool, coresPerVM float64) []Move {
+// Describe returns what the pool wants by labels, in cores of what it has.
+func (p *Pool) Describe() string {
+	var b strings.Builder
+	for _, w := range p.Wants {
+		fmt.Fprintf(&b, "%s=%.0f/%.0f ", w.Label, w.Cores, w.Have)
+	}
+	return strings.TrimSpace(b.String())
+}
+
+// lack returns the share of its VMs that a pool lacks, not above zero where it has
+// enough.
+func (p *Pool) lack() float64 {
+	if p.Spare {
+		return 0
+	}
+	worst := share(p.Cores/packing, p.Room)
+	for _, w := range p.Wants {
+		if w.Required {
+			worst = max(worst, share(w.Cores/packing, w.Have))
+		}
+	}
+	return max(worst, share(float64(p.Floor), float64(p.VMs)))
+}
+
+// share returns which share of a need is missing.
+func share(need, have float64) float64 {
+	if need <= have {
+		return 0
+	}
+	return (need - have) / need
+}
+
+// lacking returns the label of which a pool lacks the largest share, a required
+// one first, and whether only VMs with it help.
+func (p *Pool) lacking() (label string, only bool) {
+	best := 0.0
+	for _, w := range p.Wants {
+		missing := share(w.Cores/packing, w.Have)
+		if w.Required {
+			missing *= 2
+		}
+		if missing > best {
+			best, label = missing, w.Label
+		}
+	}
+	enough := p.Room >= p.Cores/packing && p.VMs >= p.Floor
+	return label, enough
+}
+
+// add counts a VM for or against a pool.
+func (p *Pool) add(vm VM, sign float64) {
+	p.VMs += int(sign)
+	p.Room += sign * vm.Cores
+	for i := range p.Wants {
+		if slices.Contains(vm.Labels, p.Wants[i].Label) {
+			p.Wants[i].Have += sign * vm.Cores
+		}
+	}
+}
+
+// spares reports whether a pool can do without one of its VMs.
+func (p *Pool) spares(vm VM) bool {
+	if p.Spare {
+		return true
+	}
+	if p.VMs <= p.Floor || p.Room-vm.Cores < p.Cores/packing {
+		return false
+	}
+	for _, w := range p.Wants {
+		if w.Required && slices.Contains(vm.Labels, w.Label) && w.Have-vm.Cores < w.Cores/packing {
+			return false
+		}
+	}
+	return true
+}
+
+// Plan returns the moves that bring the pools nearest to what they need; the pool
+// that lacks the largest share is served first, with VMs of the labels that its
+// work asks for. Only idle VMs move.
+func Plan(pools []Pool) []Move {
+	pools = slices.Clone(pools)
+	for i := range pools {
+		pools[i].Wants = slices.Clone(pools[i].Wants)
+	}
 	var moves []Move
-	donors := donors(pools, coresPerVM)
-	for {
-		needy := neediest(pools, coresPerVM)
-		if needy == nil || len(donors) == 0 {
+	donors := donors(pools)
+	helpless := map[*Pool]bool{}
+	for len(donors) > 0 {
+		needy := neediest(pools, helpless)
+		if needy == nil {
 			break
 		}
-		d := donors[0]
-		donors = donors[1:]
+		label, only := needy.lacking()
+		i := slices.IndexFunc(donors, func(d donor) bool { return label != "" && slices.Contains(d.vm.Labels, label) })
+		if i < 0 && only {
+			helpless[needy] = true
+			continue
+		}
+		i = max(i, 0)
+		d := donors[i]
+		donors = slices.Delete(donors, i, i+1)
 		moves = append(moves, Move{d.vm.Name, needy.Name})
-		needy.VMs++
-		d.pool.VMs--
+		needy.add(d.vm, 1)
 	}
 	spare := slices.IndexFunc(pools, func(p Pool) bool { return p.Spare })
 	if spare < 0 {
@@ -85,17 +192,19 @@
 	pool *Pool
 }
 
-// donors returns the VMs above their pools' targets, those of paid pools and
-// the longest idle first.
-func donors(pools []Pool, coresPerVM float64) []donor {
+// donors returns the VMs beyond what their pools need, those of paid pools and
+// the longest idle first; they count for their pools no more.
+func donors(pools []Pool) []donor {
 	var all []donor
 	for i := range pools {
 		p := &pools[i]
-		surplus := p.VMs - p.Target(coresPerVM)
 		idle := slices.Clone(p.Idle)
 		slices.SortStableFunc(idle, func(a, b VM) int { return cmp.Or(cmp.Compare(b.Idle, a.Idle), cmp.Compare(a.Name, b.Name)) })
-		for _, vm := range idle[:min(max(surplus, 0), len(idle))] {
-			all = append(all, donor{vm, p})
+		for _, vm := range idle {
+			if p.spares(vm) {
+				all = append(all, donor{vm, p})
+				p.add(vm, -1)
+			}
 		}
 	}
 	slices.SortStableFunc(all, func(a, b donor) int {
@@ -110,17 +219,14 @@
 	return all
 }
 
-// neediest returns the pool that lacks the largest part of its target, or nil.
-func neediest(pools []Pool, coresPerVM float64) *Pool {
+// neediest returns the pool that lacks the largest share of what it needs, or nil.
+func neediest(pools []Pool, helpless map[*Pool]bool) *Pool {
 	var found *Pool
 	var worst float64
 	for i := range pools {
 		p := &pools[i]
-		target := p.Target(coresPerVM)
-		if lack := target - p.VMs; lack > 0 {
-			if share := float64(lack) / float64(target); share > worst {
-				found, worst = p, share
-			}
+		if lack := p.lack(); lack > worst && !helpless[p] {
+			found, worst = p, lack
 		}
 	}
 	return found
