Take late jobs while nothing waits for the executors that are free

A late job is now taken if it would wait for nothing behind all others and is of use still, within three times its objective; it stays behind those that can be in time. TestLateJobIsTakenWhileExecutorsAreFree.

--- a/core/cell/kernel_test.go
+++ b/core/cell/kernel_test.go
@@ -144,6 +144,42 @@
 	require.Equal(t, 2, w.starts[j.ID+".0.0.0"])
 }
 
+// TestLateJobIsTakenWhileExecutorsAreFree is a row for when a refused job comes
+// back: while nothing waits it is done late, as long as that is of use; otherwise
+// it does not take the place of those that can be in time.
+func TestLateJobIsTakenWhileExecutorsAreFree(t *testing.T) {
+	for name, c := range map[string]struct {
+		after time.Duration
+		busy  bool
+		want  cell.Verdict
+	}{
+		"in time":             {time.Second, false, cell.Accepted},
+		"late and free":       {4 * time.Second, false, cell.Accepted},
+		"late and busy":       {4 * time.Second, true, cell.Refused},
+		"too late for anyone": {12 * time.Second, false, cell.Refused},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 1)
+			w.executors["e0"].Draining = true
+			w.list()
+			w.play(time.Second)
+			j := simpleJob(1, 1, 8000)
+			require.Equal(t, cell.Refused, w.verdicts[w.submit(j)].Verdict)
+			w.executors["e0"].Draining = false
+			w.list()
+			w.play(c.after)
+			if c.busy {
+				for n := range 6 {
+					w.submit(simpleJob(n+2, 1, 8000))
+				}
+			}
+			call := w.submit(simpleJob(1, 1, 8000))
+			w.play(100 * time.Millisecond)
+			require.Equal(t, c.want, w.verdicts[call].Verdict)
+		})
+	}
+}
+
 func TestTeamLimit(t *testing.T) {
 	w := newWorld(t, 4)
 	w.config.Teams[0].Limit = fleet.Vector{CPU: 5000}
--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -16,6 +17,8 @@
 	minRetryAfter = 300 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
 	defaultSlack  = 600 * time.Millisecond
+	// lateFactor times the objective is until when an answer is of use.
+	lateFactor = 3
 )
 
 // submit takes a job, refuses it, or joins the one that has its id.
@@ -70,24 +73,41 @@
 	}
 	chain := j.Chain()
 	due := first + objectiveOf(queue, chain)
-	var wait time.Duration
-	for _, label := range labelsOf(j) {
-		c := k.capacity(queue.Pool, label)
-		if c.now+c.later <= 0 {
-			return Answer{Verdict: Refused, RetryAfter: maxRetryAfter, Reason: "no executor to serve the queue"}
-		}
-		wait = max(wait, c.wait(k.ahead(queue, due, label), k.Move+lendAhead))
+	wait, ok := k.expectedWait(j, queue, due)
+	if !ok {
+		return Answer{Verdict: Refused, RetryAfter: maxRetryAfter, Reason: "no executor to serve the queue"}
 	}
 	late := k.now.Mono + wait + chain - due
 	if late <= 0 {
 		return Answer{Verdict: Accepted}
 	}
+	if k.now.Mono+chain <= first+lateFactor*(due-first) {
+		// A late job goes behind all others. While nothing waits for the executors
+		// that are free, late is better than never.
+		if all, _ := k.expectedWait(j, queue, math.MaxInt64); all == 0 {
+			return Answer{Verdict: Accepted}
+		}
+	}
 	return Answer{
 		Verdict: Refused, RetryAfter: min(max(late, minRetryAfter), maxRetryAfter), Wait: wait,
 		Reason: "the backlog exceeds the latency objective",
 	}
 }
 
+// expectedWait returns how long a job would wait for executors behind the work that
+// is due before it, and whether there are any.
+func (k *Kernel) expectedWait(j *job.Job, queue *fleet.Queue, due time.Duration) (time.Duration, bool) {
+	var wait time.Duration
+	for _, label := range labelsOf(j) {
+		c := k.capacity(queue.Pool, label)
+		if c.now+c.later <= 0 {
+			return 0, false
+		}
+		wait = max(wait, c.wait(k.ahead(queue, due, label), k.Move+lendAhead))
+	}
+	return wait, true
+}
+
 // labelsOf returns the labels that a job's steps require, and none for the rest.
 func labelsOf(j *job.Job) []string {
 	labels := []string{""}
