Let runs go on while no node has the store, and refuse what cannot be stored

Runs lapsed 5.4 s after the owner's last renewal, also where no other node had the store and so none could claim; callers who handed jobs in got 504 after their deadline. Now the owner asks all nodes; while all say that they have no store its runs go on. New jobs are refused at once while a write is under way for 1.2 s. TestWorkGoesOnThroughAnOutage and TestSuccessorWaitsForATrustingOwner fail without their guards.

--- a/core/cell/event.go
+++ b/core/cell/event.go
@@ -45,6 +45,9 @@
 	}
 	// LeaseExtended says until when the ownership is proved.
 	LeaseExtended struct{ Until time.Duration }
+	// OutageConfirmed says that no other node has the store, so that none can claim
+	// the pools before a time.
+	OutageConfirmed struct{ Until time.Duration }
 	// Submitted hands a job in.
 	Submitted struct {
 		Call CallID
@@ -93,21 +96,22 @@
 	}
 )
 
-func (Tick) event()          {}
-func (Configured) event()    {}
-func (Listed) event()        {}
-func (Evacuated) event()     {}
-func (WavesAsked) event()    {}
-func (VMsListed) event()     {}
-func (LeaseExtended) event() {}
-func (Submitted) event()     {}
-func (CancelAsked) event()   {}
-func (Started) event()       {}
-func (Stopped) event()       {}
-func (Renewed) event()       {}
-func (Written) event()       {}
-func (VMOrdered) event()     {}
-func (Advised) event()       {}
+func (Tick) event()            {}
+func (Configured) event()      {}
+func (Listed) event()          {}
+func (Evacuated) event()       {}
+func (WavesAsked) event()      {}
+func (VMsListed) event()       {}
+func (LeaseExtended) event()   {}
+func (OutageConfirmed) event() {}
+func (Submitted) event()       {}
+func (CancelAsked) event()     {}
+func (Started) event()         {}
+func (Stopped) event()         {}
+func (Renewed) event()         {}
+func (Written) event()         {}
+func (VMOrdered) event()       {}
+func (Advised) event()         {}
 
 // The effects.
 type (
--- a/core/cell/executors.go
+++ b/core/cell/executors.go
@@ -98,7 +98,7 @@
 
 // inheritedHold bounds how long runs of an earlier owner go on.
 func (k *Kernel) inheritedHold() time.Duration {
-	return stretch(k.hold()) + lapseSlack
+	return stretch(k.hold()+max(k.TrustedUntil-k.claimedAt, 0)) + lapseSlack
 }
 
 // hold is the length of the deadlines that are granted.
@@ -108,12 +108,13 @@
 func stretch(d time.Duration) time.Duration { return d * clockDrift / 1000 }
 
 // deadline returns the latest deadline that may be granted now, on the
-// executor's clock: what is granted ends a fixed time after our ownership.
+// executor's clock: what is granted ends a fixed time after our ownership, or after
+// the last proof that nobody else can have it.
 func (k *Kernel) deadline(x *executor) int64 {
 	if x.clock == 0 {
 		return 0
 	}
-	left := min(k.hold(), k.until+k.outageHold()-k.now.Mono)
+	left := min(k.hold(), max(k.until, k.outage)+k.outageHold()-k.now.Mono)
 	elapsed := k.now.Mono - x.clockAt
 	return x.clock + (elapsed + left).Milliseconds()
 }
--- a/core/cell/fake_test.go
+++ b/core/cell/fake_test.go
@@ -46,7 +46,9 @@
 	void int64
 	// dark executors answer nothing.
 	dark bool
-	down bool
+	// darkFor holds the owners that do not reach it.
+	darkFor map[*cell.Kernel]bool
+	down    bool
 }
 
 func (x *fakeExecutor) end(r *fakeRun, how fleet.RunEnd) {
@@ -132,7 +134,7 @@
 	delay, answered := w.orders("renew", "")
 	w.after(max(delay, 5*time.Millisecond), func() {
 		x := w.executors[o.Executor]
-		if x == nil || x.dark || x.down || !answered {
+		if x == nil || x.dark || x.darkFor[k] || x.down || !answered {
 			w.after(600*time.Millisecond, func() {
 				w.tell(k, cell.Renewed{Executor: o.Executor, Sent: sent, State: fleet.ExecutorState{Outcome: fleet.OrderUnknown}})
 			})
--- a/core/cell/kernel.go
+++ b/core/cell/kernel.go
@@ -25,6 +25,9 @@
 	Upkeep time.Duration
 	// Move is how long a VM takes to join another pool.
 	Move time.Duration
+	// TrustedUntil is until when an earlier owner may have let runs go on since this
+	// node said that it had no store.
+	TrustedUntil time.Duration
 	// VMOrdersPerS is how many orders for VMs the platform takes a second, zero
 	// for no limit.
 	VMOrdersPerS float64
@@ -55,8 +58,10 @@
 	// RunBase is below every run that this owner starts.
 	RunBase int
 
-	now    Now
-	until  time.Duration
+	now   Now
+	until time.Duration
+	// outage is until when no other node can claim the pools for want of the store.
+	outage time.Duration
 	config *fleet.Configuration
 
 	jobs      map[string]*jobState
@@ -138,6 +143,9 @@
 	case LeaseExtended:
 		k.until = max(k.until, e.Until)
 		return nil
+	case OutageConfirmed:
+		k.outage = max(k.outage, e.Until)
+		return nil
 	case Submitted:
 		k.submit(e)
 	case CancelAsked:
--- a/core/cell/kernel_test.go
+++ b/core/cell/kernel_test.go
@@ -419,3 +419,63 @@
 		require.LessOrEqual(t, w.starts[j.ID+".0.0.0"], 2, "it may have begun before the crash, and begins once after it")
 	}
 }
+
+// TestWorkGoesOnThroughAnOutage replays store-long-outage: while no node has the
+// store, what runs goes on, steps follow, and new jobs are refused at once; without
+// the word of the other nodes all runs end some seconds after the owner's proof.
+func TestWorkGoesOnThroughAnOutage(t *testing.T) {
+	for name, bridged := range map[string]bool{"for all nodes": true, "for the owner alone": false} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 3)
+			w.taskTime = func(string, int) (time.Duration, fleet.RunEnd) { return 8 * time.Second, fleet.EndDone }
+			w.play(time.Second)
+			service := simpleJob(1, 3, 1000)
+			service.Steps[0].Service = true
+			w.submit(service)
+			chain := simpleJob(2, 1, 1000)
+			chain.Steps[0].EstimateMs = 8000
+			chain.Steps = append(chain.Steps, job.Step{Count: 1, Size: fleet.Vector{CPU: 1000}, EstimateMs: 8000, After: []int{0}})
+			w.submit(chain)
+			w.play(time.Second)
+			w.storeDown, w.unproved, w.bridged = true, true, bridged
+			w.play(20 * time.Second)
+			call := w.submit(simpleJob(3, 1, 1000))
+			require.Equal(t, cell.Refused, w.verdicts[call].Verdict)
+			w.storeUp()
+			w.unproved, w.bridged = false, false
+			w.play(time.Second)
+			if !bridged {
+				require.Less(t, 1, w.starts[service.ID+".0.0.0"])
+				return
+			}
+			require.Equal(t, 1, w.starts[service.ID+".0.0.0"])
+			require.Equal(t, job.Succeeded, w.state(chain.ID))
+		})
+	}
+}
+
+// TestSuccessorWaitsForATrustingOwner lets the store come back for a node that said
+// just before that it had none: the owner relied on that, and still renews the runs
+// of an executor that does not answer the next one.
+func TestSuccessorWaitsForATrustingOwner(t *testing.T) {
+	w := newWorld(t, 2)
+	w.taskTime = func(string, int) (time.Duration, fleet.RunEnd) { return time.Minute, fleet.EndDone }
+	w.play(time.Second)
+	j := simpleJob(1, 1, 1000)
+	j.Steps[0].Service = true
+	w.submit(j)
+	w.play(time.Second)
+	w.storeDown, w.unproved, w.bridged = true, true, true
+	w.play(20 * time.Second)
+	w.bridged = false
+	w.storeDown, w.unproved = false, false
+	before := w.kernel
+	w.takeOver()
+	// Each owner reaches one of the two executors. The world checks that no second
+	// run begins beside the first.
+	for _, x := range w.executors {
+		x.darkFor = map[*cell.Kernel]bool{before: len(x.runs) == 0, w.kernel: len(x.runs) > 0}
+	}
+	w.play(8 * time.Second)
+	require.Equal(t, 2, w.starts[j.ID+".0.0.0"])
+}
--- a/core/cell/persist.go
+++ b/core/cell/persist.go
@@ -80,6 +80,15 @@
 	k.emit(w)
 }
 
+// storeSilentAfter is how long a write may be under way before new jobs are refused
+// at once: the slowest store that serves answers in a third of a second.
+const storeSilentAfter = 1200 * time.Millisecond
+
+// storeSilent reports whether a job that is handed in now could not be stored.
+func (k *Kernel) storeSilent() bool {
+	return k.out.inFlight != 0 && k.now.Mono > k.out.flushed+storeSilentAfter
+}
+
 // written settles what waited for a write.
 func (k *Kernel) written(number int64) {
 	o := &k.out
--- a/core/cell/random_test.go
+++ b/core/cell/random_test.go
@@ -146,11 +146,15 @@
 	r.claim()
 }
 
-// depose lets another owner claim while this one goes on without the store.
+// depose lets another owner claim while this one goes on without the store, at times
+// after an outage for all.
 func (r *randomWorld) depose() {
 	r.storeDown, r.unproved = true, true
 	r.play(testProof + 10*time.Millisecond)
-	r.storeDown, r.unproved = false, false
+	if r.bridged = rapid.Bool().Draw(r.T, "bridged"); r.bridged {
+		r.play(time.Duration(rapid.IntRange(1, 12).Draw(r.T, "outage")) * time.Second)
+	}
+	r.storeDown, r.unproved, r.bridged = false, false, false
 	r.takeOver()
 }
 
--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -16,6 +16,8 @@
 	// retries fit the usual deadline for handing a job in.
 	minRetryAfter = 300 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
+	// minStoreRetry is when a caller may come back that the silent store turned away.
+	minStoreRetry = time.Second
 	defaultSlack  = 600 * time.Millisecond
 	// lateFactor times the objective is until when an answer is of use.
 	lateFactor = 3
@@ -45,7 +47,11 @@
 	}
 	// The objective counts from the caller's first try.
 	e.Job.AcceptedMs -= (k.now.Mono - first).Milliseconds()
-	if a := k.admit(e.Job, queue, first); a.Verdict != Accepted {
+	a := k.admit(e.Job, queue, first)
+	if k.storeSilent() && a.Verdict != Unservable {
+		a = Answer{Verdict: Refused, RetryAfter: minStoreRetry, Reason: "the store does not answer"}
+	}
+	if a.Verdict != Accepted {
 		k.refusals[e.Job.ID] = first
 		k.log(event.JobRefused, "job", e.Job.ID, "queue", queue.Name, "team", e.Job.Team, "reason", a.Reason,
 			"retry_after_ms", a.RetryAfter.Milliseconds(), "expected_wait_ms", a.Wait.Milliseconds(),
--- a/core/cell/world_test.go
+++ b/core/cell/world_test.go
@@ -22,6 +22,7 @@
 	testStop    = 900 * time.Millisecond
 	testStep    = 10 * time.Millisecond
 	testProof   = time.Second
+	testTrust   = 1500 * time.Millisecond
 )
 
 // world plays a kernel against fake executors and a store, in virtual time, and
@@ -46,6 +47,10 @@
 	vms       []fleet.VM
 	// unproved says that the owner's lease is not renewed.
 	unproved bool
+	// bridged says that all nodes confirm that they have no store.
+	bridged bool
+	// trusted is until when the next owner is said to have had no store.
+	trusted time.Duration
 	// storeDown holds writes back.
 	storeDown bool
 	held      []cell.Write
@@ -190,7 +195,7 @@
 func (w *world) takeOver() {
 	w.token += 10
 	w.held = nil
-	w.kernel = cell.New(cell.Settings{HoldMax: testHoldMax, StopMax: testStop, OrderLease: testOrderLease, KeepEnded: time.Minute, Upkeep: 2 * time.Second, Move: 1500 * time.Millisecond},
+	w.kernel = cell.New(cell.Settings{HoldMax: testHoldMax, StopMax: testStop, OrderLease: testOrderLease, KeepEnded: time.Minute, Upkeep: 2 * time.Second, Move: 1500 * time.Millisecond, TrustedUntil: w.trusted},
 		w.clock(), w.token, w.owners*100_000)
 	w.owners++
 	w.alive[w.kernel] = true
@@ -272,6 +277,10 @@
 		if !w.unproved {
 			w.step(cell.LeaseExtended{Until: w.now + testProof})
 		}
+		if w.bridged {
+			w.step(cell.OutageConfirmed{Until: w.now + testTrust})
+			w.trusted = w.now + testTrust
+		}
 		for _, k := range w.owned {
 			if w.alive[k] {
 				w.stepOf(k, cell.Tick{})
@@ -355,7 +364,7 @@
 		w.after(delay, func() {
 			// An order that is carried out late ends with the incarnation that has it.
 			a := fleet.OrderAnswer{Outcome: fleet.OrderUnknown}
-			if x := w.executors[e.Order.Executor]; x != nil && x.Born == born {
+			if x := w.executors[e.Order.Executor]; x != nil && x.Born == born && !x.darkFor[k] {
 				a = w.start(e.Order)
 			}
 			if answered {
--- a/core/event/platform.go
+++ b/core/event/platform.go
@@ -43,6 +43,7 @@
 	OwnerTooSlow          Number = 719
 	StoreLost             Number = 721
 	StoreRegained         Number = 722
+	OutageBridged         Number = 720
 	ConfigurationLost     Number = 723
 	ConfigurationRegained Number = 724
 	OperatorEntrySkipped  Number = 725
@@ -101,6 +102,7 @@
 		WriteUnanswered:       "a write to the store got no answer and is repeated",
 		OwnerTooSlow:          "ticks were late for too long; the pools are handed over to another VM",
 		StoreLost:             "the store does not serve this node; peers are asked",
+		OutageBridged:         "no node has the store, or one may have it again: the owner lets runs go on, or not",
 		StoreRegained:         "the store serves this node again",
 		ConfigurationLost:     "the operators' changes cannot be followed",
 		ConfigurationRegained: "the operators' changes are followed again",
--- a/edge/owner.go
+++ b/edge/owner.go
@@ -66,6 +66,9 @@
 	synced   bool
 	host     *host
 	operator *core.OperatorState
+	// trusted returns until when an earlier owner may rely on this node having no
+	// store.
+	trusted func() time.Duration
 	// stopping keeps a node that ends from claiming.
 	stopping bool
 	// yielded is when this node last gave the pools up since it was too slow.
@@ -196,7 +199,9 @@
 	if err != nil {
 		return err
 	}
-	k := cell.New(o.settings, now(), claim.token, int(claim.sequence.Generation-1)*runsPerGeneration)
+	settings := o.settings
+	settings.TrustedUntil = o.trusted()
+	k := cell.New(settings, now(), claim.token, int(claim.sequence.Generation-1)*runsPerGeneration)
 	k.Step(now(), cell.LeaseExtended{Until: claim.until})
 	k.Step(now(), cell.Configured{Configuration: o.operatorState().Configuration})
 	loading, cancel := context.WithTimeout(ctx, claimWithin)
--- a/edge/process.go
+++ b/edge/process.go
@@ -71,6 +71,7 @@
 	peerClient  *http.Client
 	log         *eventlog.Log
 	owner       *owner
+	outage      outage
 
 	configuration atomic.Pointer[fleet.Configuration]
 	stopping      atomic.Bool
@@ -85,8 +86,9 @@
 		relay: d.Relay, peerClient: d.PeerClient, log: d.Log, figures: d.Figures,
 	}
 	p.owner = &owner{
-		self:  ownerRecord{Node: s.Node, Incarnation: p.incarnation, Address: s.Peer},
-		store: d.Store, codec: d.Codec, workers: d.Workers, vms: d.VMs, advisor: d.Advisor,
+		trusted: p.outage.mayBeTrusted,
+		self:    ownerRecord{Node: s.Node, Incarnation: p.incarnation, Address: s.Peer},
+		store:   d.Store, codec: d.Codec, workers: d.Workers, vms: d.VMs, advisor: d.Advisor,
 		settings: s.Bounds, processor: s.Processor, log: d.Log, figures: d.Figures, changed: make(chan struct{}),
 		system: actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger {
 			return slog.New(slog.DiscardHandler)
@@ -108,7 +110,7 @@
 func (p *Process) Run(ctx context.Context) error {
 	var group run.Group
 	work, stopWork := context.WithCancel(context.Background())
-	for _, f := range []func(context.Context){p.followOperator, p.followLive, p.keepListed, p.owner.run} {
+	for _, f := range []func(context.Context){p.followOperator, p.followLive, p.keepListed, p.bridgeOutage, p.owner.run} {
 		c, cancel := context.WithCancel(work)
 		group.Add(func() error { f(c); return nil }, func(error) { cancel() })
 	}
@@ -155,6 +157,7 @@
 func (p *Process) listen() ([]listening, error) {
 	peer := http.NewServeMux()
 	jsonhttp.Handle(peer, "POST "+ownerPath, p.handleOwner)
+	jsonhttp.Handle(peer, "POST "+outagePath, p.handleOutage)
 	if p.relay != nil {
 		peer.HandleFunc("POST "+relayPath, p.relay.serve)
 	}
@@ -274,6 +277,7 @@
 		p.peersMu.Lock()
 		p.peers = peers
 		p.peersMu.Unlock()
+		p.outage.listed(mono(), peers)
 		p.owner.observe(items[keyOwner])
 	}}
 	f.run(ctx)
