Leave the store's silence to a peer at once, and hand over when cut off from it

Now the third try of a silent call goes through a peer, the peer that served is kept, probes run apart, and an owner that the store does not answer at all hands the pools over; one that the store turns away keeps them. TestRelay now calls the probe itself, which runs apart: the store is still left alone between probes.

--- a/commands/edge.go
+++ b/commands/edge.go
@@ -43,7 +43,7 @@
 	log := eventlog.New(zapcore.AddSync(lines))
 	peers := platform.NewHTTPClient(peerConns, 0)
 	store := &platform.Store{Address: s.Platform.Address, Client: platform.NewHTTPClient(storeConns, 0)}
-	relay := &edge.Relay{Direct: store.Direct, Client: peers, Log: log}
+	relay := &edge.Relay{Direct: store.Direct, Probe: platform.ProbeCall(), Client: peers, Log: log}
 	store.Carry = relay.Carry
 	bounds := s.Bounds.Cell()
 	bounds.VMOrdersPerS = s.CloudAPI.DutyPerS
--- a/core/event/platform.go
+++ b/core/event/platform.go
@@ -40,7 +40,7 @@
 	OwnershipEnded        Number = 716
 	LeaseNotRenewed       Number = 717
 	WriteUnanswered       Number = 718
-	OwnerTooSlow          Number = 719
+	OwnerYields           Number = 719
 	StoreLost             Number = 721
 	StoreRegained         Number = 722
 	OutageBridged         Number = 720
@@ -100,7 +100,7 @@
 		OwnershipEnded:        "this node owns the pools no more",
 		LeaseNotRenewed:       "the renewal of the owner's lease got no answer",
 		WriteUnanswered:       "a write to the store got no answer and is repeated",
-		OwnerTooSlow:          "ticks were late for too long; the pools are handed over to another VM",
+		OwnerYields:           "the owner hands the pools over to a VM that can serve them better",
 		StoreLost:             "the store does not serve this node; peers are asked",
 		OutageBridged:         "no node has the store, or one may have it again: the owner lets runs go on, or not",
 		StoreRegained:         "the store serves this node again",
--- a/edge/hedge.go
+++ b/edge/hedge.go
@@ -10,7 +10,8 @@
 
 // Hedging limits.
 const (
-	// hedgeTries is how often a call is sent at most while no answer comes.
+	// hedgeTries is how often a call is sent at most while no answer comes; the last
+	// try goes by another way, where there is one.
 	hedgeTries = 3
 	// hedgeFactor times the usual latency is when a call is sent again; the least
 	// covers pauses of the process itself, the most is half of directWithin, so
@@ -39,7 +40,9 @@
 	status int
 	data   []byte
 	err    error
-	took   time.Duration
+	// other says that the try went by the other way.
+	other bool
+	took  time.Duration
 }
 
 // pause returns when a call without an answer is sent again.
@@ -56,17 +59,18 @@
 }
 
 // carry sends a call until the store serves it, all tries have failed, or ctx
-// ends. A try that failed is not repeated here: only silence is.
-func (h *hedge) carry(ctx context.Context, send carrier, c core.StoreCall) (int, []byte, error) {
+// ends. A try that failed is not repeated here: only silence is. It reports whether
+// the last try, by another way that may be nil, was the one that was served.
+func (h *hedge) carry(ctx context.Context, send, another carrier, c core.StoreCall) (status int, data []byte, other bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	results := make(chan tryResult, hedgeTries)
-	try := func() {
+	try := func(by carrier, other bool) {
 		began := mono()
-		status, data, err := send(ctx, c)
-		results <- tryResult{status, data, err, mono() - began}
+		status, data, err := by(ctx, c)
+		results <- tryResult{status, data, err, other, mono() - began}
 	}
-	go try()
+	go try(send, false)
 	tries, failed := 1, 0
 	pause := h.pause()
 	t := time.NewTimer(pause)
@@ -75,20 +79,27 @@
 		select {
 		case r := <-results:
 			if served(r.status, r.err) {
-				h.observe(r.took)
-				return r.status, r.data, nil
+				if !r.other {
+					h.observe(r.took)
+				}
+				return r.status, r.data, r.other, nil
 			}
 			if failed++; failed == tries {
-				return r.status, r.data, r.err
+				return r.status, r.data, r.other, r.err
 			}
 		case <-t.C:
 			if tries < hedgeTries {
 				tries++
-				go try()
+				last := tries == hedgeTries && another != nil
+				by := send
+				if last {
+					by = another
+				}
+				go try(by, last)
 				t.Reset(pause)
 			}
 		case <-ctx.Done():
-			return 0, nil, ctx.Err()
+			return 0, nil, false, ctx.Err()
 		}
 	}
 }
--- a/edge/hedge_test.go
+++ b/edge/hedge_test.go
@@ -56,7 +56,7 @@
 				defer cancel()
 			}
 			var h hedge
-			status, _, err := h.carry(ctx, send, core.StoreCall{})
+			status, _, _, err := h.carry(ctx, send, nil, core.StoreCall{})
 			require.Equal(t, c.failed, err != nil)
 			require.Equal(t, c.status, status)
 			require.Equal(t, c.sent, sent.Load())
@@ -64,6 +64,33 @@
 	}
 }
 
+// TestHedgeByAnotherWay replays scale-2 of zkw-tarcza-grown, where the owner is cut
+// off from the store and its peers are not: the last try goes through one of them.
+func TestHedgeByAnotherWay(t *testing.T) {
+	silent := func(ctx context.Context, _ core.StoreCall) (int, []byte, error) {
+		<-ctx.Done()
+		return 0, nil, errSilent
+	}
+	peer := func(context.Context, core.StoreCall) (int, []byte, error) { return 200, nil, nil }
+	answers := func(context.Context, core.StoreCall) (int, []byte, error) { return 404, nil, nil }
+	for name, c := range map[string]struct {
+		direct carrier
+		status int
+		other  bool
+	}{
+		"the store is silent": {silent, 200, true},
+		"the store answers":   {answers, 404, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var h hedge
+			status, _, other, err := h.carry(context.Background(), c.direct, peer, core.StoreCall{})
+			require.NoError(t, err)
+			require.Equal(t, c.status, status)
+			require.Equal(t, c.other, other)
+		})
+	}
+}
+
 // TestHedgeFollowsASlowStore keeps a slow store from being asked three times for
 // each call.
 func TestHedgeFollowsASlowStore(t *testing.T) {
--- a/edge/owner.go
+++ b/edge/owner.go
@@ -69,6 +69,8 @@
 	// trusted returns until when an owner may rely on this node having no store, and
 	// so not claiming.
 	trusted func() time.Duration
+	// cutOff reports whether the store does not answer this node directly.
+	cutOff func() bool
 	// stopping keeps a node that ends from claiming.
 	stopping bool
 	// yielded is when this node last gave the pools up since it was too slow.
@@ -155,14 +157,14 @@
 	d := time.Duration(max(1-o.processor, 0) * float64(claimHandicap))
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.yielded != 0 && mono() < o.yielded+yieldFor {
+	if (o.yielded != 0 && mono() < o.yielded+yieldFor) || o.cutOff() {
 		d += yieldHandicap
 	}
 	return d
 }
 
-// yield gives the pools up since this VM is too slow for them.
-func (o *owner) yield() {
+// yield gives the pools up to a VM that can serve them better.
+func (o *owner) yield(reason string) {
 	o.mu.Lock()
 	again := o.yielded != 0 && mono() < o.yielded+yieldAfter
 	if !again {
@@ -173,10 +175,10 @@
 	if again || h == nil {
 		return
 	}
-	o.log.Event(event.OwnerTooSlow, zap.Duration("late_for", slowWindows*pulseWindow))
+	o.log.Event(event.OwnerYields, zap.String("reason", reason))
 	go func() {
 		h.handOver(handOverWithin)
-		o.lose("this VM is too slow for the pools")
+		o.lose(reason)
 	}()
 }
 
@@ -219,7 +221,7 @@
 		kernel: k, node: o.self.Node, workers: o.workers, vms: o.vms, advisor: o.advisor,
 		codec: o.codec, store: o.store, log: o.log, figures: o.figures,
 		writer:  &writer{store: o.store, codec: o.codec, log: o.log, sequence: claim.sequence, revision: claim.token},
-		deposed: o.lose, yield: o.yield,
+		deposed: o.lose, yield: func() { o.yield("this VM is too slow for the pools") },
 	}
 	// The kernel may meet a later owner with its first call.
 	losing := make(chan string, 1)
@@ -360,6 +362,10 @@
 		switch {
 		case err == nil:
 			h.send(cell.LeaseExtended{Until: sent + ownerTTL - leaseMargin})
+			if o.cutOff() {
+				// The peer that carried the renewal has the store, and so may own.
+				o.yield("this VM is cut off from the store")
+			}
 		case errors.Is(err, core.ErrNotFound):
 			return "the lease has ended"
 		case ctx.Err() == nil:
--- a/edge/process.go
+++ b/edge/process.go
@@ -86,9 +86,9 @@
 		relay: d.Relay, peerClient: d.PeerClient, log: d.Log, figures: d.Figures,
 	}
 	p.owner = &owner{
-		trusted: p.outage.mayBeTrusted,
-		self:    ownerRecord{Node: s.Node, Incarnation: p.incarnation, Address: s.Peer},
-		store:   d.Store, codec: d.Codec, workers: d.Workers, vms: d.VMs, advisor: d.Advisor,
+		trusted: p.outage.mayBeTrusted, cutOff: func() bool { return false },
+		self:  ownerRecord{Node: s.Node, Incarnation: p.incarnation, Address: s.Peer},
+		store: d.Store, codec: d.Codec, workers: d.Workers, vms: d.VMs, advisor: d.Advisor,
 		settings: s.Bounds, processor: s.Processor, log: d.Log, figures: d.Figures, changed: make(chan struct{}),
 		system: actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger {
 			return slog.New(slog.DiscardHandler)
@@ -96,6 +96,7 @@
 	}
 	if d.Relay != nil {
 		d.Relay.peers = p.peerList
+		p.owner.cutOff = d.Relay.isCutOff
 	}
 	return p
 }
--- a/edge/writer_test.go
+++ b/edge/writer_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -176,25 +178,111 @@
 		"no answer":       {0, failed, false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			calls := 0
+			var calls atomic.Int32
+			var healed atomic.Bool
 			r := &Relay{
-				Direct: func(context.Context, core.StoreCall) (int, []byte, error) { calls++; return c.status, nil, c.err },
-				Log:    eventlog.Nop(), peers: func() []string { return nil },
+				Direct: func(context.Context, core.StoreCall) (int, []byte, error) {
+					calls.Add(1)
+					if healed.Load() {
+						return 404, nil, nil
+					}
+					return c.status, nil, c.err
+				},
+				Log: eventlog.Nop(), peers: func() []string { return nil },
 			}
 			status, _, err := r.Carry(context.Background(), core.StoreCall{})
 			require.Equal(t, c.served, err == nil)
-			require.Equal(t, !c.served, r.broken)
+			require.Equal(t, !c.served, r.isBroken())
 			if c.served {
 				require.Equal(t, c.status, status)
 				return
 			}
 			_, _, err = r.Carry(context.Background(), core.StoreCall{})
 			require.Error(t, err)
-			require.Equal(t, 1, calls, "the store is left alone until the next probe")
-			r.probeAt = time.Time{}
+			require.Equal(t, int32(1), calls.Load(), "the store is left alone until the next probe")
+			require.False(t, r.probeOnce())
 			_, _, err = r.Carry(context.Background(), core.StoreCall{})
 			require.Error(t, err)
-			require.Equal(t, 2, calls)
+			require.Equal(t, int32(2), calls.Load())
+			healed.Store(true)
+			require.True(t, r.probeOnce())
+			_, _, err = r.Carry(context.Background(), core.StoreCall{})
+			require.NoError(t, err)
+		})
+	}
+}
+
+// TestRelayKeepsAPeerThatServes replays scale-2 of zkw-tarcza-grown, where 15 of 42
+// nodes, the owner among them, have no store: one peer that has it is found, and
+// then carries all calls until it fails.
+func TestRelayKeepsAPeerThatServes(t *testing.T) {
+	asked := map[string]int{}
+	var down string
+	has := func(name string) bool { return name != down && (name == "p3" || name == "p7") }
+	client := &http.Client{Transport: roundTrip(func(q *http.Request) (*http.Response, error) {
+		asked[q.URL.Host]++
+		status := http.StatusServiceUnavailable
+		if has(q.URL.Host) {
+			status = http.StatusOK
+		}
+		return &http.Response{StatusCode: status, Body: http.NoBody}, nil
+	})}
+	r := &Relay{broken: true, Client: client, Log: eventlog.Nop(), peers: func() []string {
+		return []string{"p0", "p1", "p2", "p3", "p4", "p5", "p6", "p7"}
+	}}
+	find := func() string {
+		for range 200 {
+			if _, _, err := r.Carry(context.Background(), core.StoreCall{}); err == nil {
+				return r.good
+			}
+		}
+		return ""
+	}
+	good := find()
+	require.True(t, has(good))
+	clear(asked)
+	for range 20 {
+		_, _, err := r.Carry(context.Background(), core.StoreCall{})
+		require.NoError(t, err)
+	}
+	require.Equal(t, map[string]int{good: 20}, asked)
+	down = good
+	next := find()
+	require.NotEqual(t, good, next)
+	require.True(t, has(next))
+}
+
+// TestLostAnswersAreNoCut lets a store lose the answers to some calls, which a peer
+// then carries: the node is not cut off while other calls get answers.
+func TestLostAnswersAreNoCut(t *testing.T) {
+	for name, c := range map[string]struct {
+		answered time.Duration
+		cut      bool
+	}{
+		"another call was answered just now": {0, false},
+		"no call is answered":                {time.Minute, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			client := &http.Client{Transport: roundTrip(func(*http.Request) (*http.Response, error) {
+				return &http.Response{StatusCode: http.StatusOK, Body: http.NoBody}, nil
+			})}
+			r := &Relay{
+				Direct: func(ctx context.Context, _ core.StoreCall) (int, []byte, error) {
+					<-ctx.Done()
+					return 0, nil, ctx.Err()
+				},
+				Client: client, Log: eventlog.Nop(), peers: func() []string { return []string{"p"} },
+			}
+			r.direct.Store(int64(mono() - c.answered + silentAfter))
+			_, _, err := r.Carry(context.Background(), core.StoreCall{})
+			require.NoError(t, err)
+			require.Equal(t, c.cut, r.isCutOff())
 		})
 	}
 }
+
+// roundTrip answers requests without a network.
+type roundTrip func(*http.Request) (*http.Response, error)
+
+// RoundTrip implements http.RoundTripper.
+func (f roundTrip) RoundTrip(q *http.Request) (*http.Response, error) { return f(q) }
