End a recovery only with proof of the ownership

Cause, found by reading the change: the recovery ended by time also when the owner's proof had ended meanwhile, so that it took the runs of a silent executor for ended that the next owner had taken over, and started their tasks on executors that the next owner did not reach. TestRecoveryEndsWithProofOnly failed before. The outage's log line is written by the process.

--- a/core/cell/recover.go
+++ b/core/cell/recover.go
@@ -60,7 +60,8 @@
 // every executor has answered under our token, or all inherited deadlines have
 // passed.
 func (k *Kernel) recoverStep() {
-	if !k.recovering {
+	if !k.recovering || !k.proved() {
+		// Without proof a later owner may have taken over what this one waits for.
 		return
 	}
 	if k.now.Mono < k.claimedAt+k.inheritedHold() && !k.allFenced() {
--- a/core/cell/takeover_test.go
+++ b/core/cell/takeover_test.go
@@ -194,6 +194,33 @@
 	}
 }
 
+// TestRecoveryEndsWithProofOnly lets an owner lose its proof while an executor has
+// not answered it: by the time at which it would count that executor's runs as ended,
+// the next owner may have taken them over. Each owner reaches one of the two.
+func TestRecoveryEndsWithProofOnly(t *testing.T) {
+	w := newWorld(t, 2)
+	w.play(time.Second)
+	j := simpleJob(1, 1, 1000)
+	j.Steps[0].Service = true
+	w.submit(j)
+	w.play(time.Second)
+	w.claim()
+	before := w.kernel
+	for _, x := range w.executors {
+		x.darkFor = map[*cell.Kernel]bool{before: len(x.runs) > 0}
+	}
+	w.play(500 * time.Millisecond)
+	w.unproved = true
+	w.play(testProof + 10*time.Millisecond)
+	w.unproved = false
+	w.takeOver()
+	for _, x := range w.executors {
+		x.darkFor[w.kernel] = len(x.runs) == 0
+	}
+	w.play(10 * time.Second)
+	require.Equal(t, 1, w.starts[j.ID+".0.0.0"])
+}
+
 // TestProofThatReturnsSettlesWhatWasDoubtful lets an owner that could not renew its
 // lease for a while, and lost an executor meanwhile, prove that it owned the pools
 // all along.
--- a/edge/outage.go
+++ b/edge/outage.go
@@ -117,7 +117,7 @@
 		pause(ctx, outageEvery)
 		h := p.owner.local()
 		if h == nil || !p.lost() {
-			p.outage.note(p, false)
+			p.noteBridge(false)
 			continue
 		}
 		sent := mono()
@@ -125,20 +125,25 @@
 		if all {
 			h.send(cell.OutageConfirmed{Until: sent + outagePromise})
 		}
-		p.outage.note(p, all)
+		p.noteBridge(all)
 	}
 }
 
-// note logs when the answers of the peers begin or cease to let runs go on.
-func (o *outage) note(p *Process, all bool) {
+// noteBridge logs when the answers of the peers begin or cease to let runs go on.
+func (p *Process) noteBridge(all bool) {
+	if changed, peers := p.outage.confirm(all); changed {
+		p.log.Event(event.OutageBridged, zap.Bool("goes_on", all), zap.Int("peers", peers))
+	}
+}
+
+// confirm notes whether the peers let runs go on, and returns whether that is new and
+// how many peers there are.
+func (o *outage) confirm(all bool) (bool, int) {
 	o.mu.Lock()
+	defer o.mu.Unlock()
 	changed := o.confirmed != all
 	o.confirmed = all
-	peers := len(o.seen)
-	o.mu.Unlock()
-	if changed {
-		p.log.Event(event.OutageBridged, zap.Bool("goes_on", all), zap.Int("peers", peers))
-	}
+	return changed, len(o.seen)
 }
 
 // allLost reports whether every peer says that it has no store; one that does not
