--- a/core/cell/lend.go
+++ b/core/cell/lend.go
@@ -84,11 +84,12 @@
 		}
 		x := k.executors[vm.Executor]
 		idle, able := k.idleFor(vm, x)
+		described := lending.VM{Name: name, Idle: idle, Cores: coresOf(vm), Labels: vm.Labels}
 		if moving || able {
-			countVM(p, vm)
+			p.Add(described)
 		}
 		if !moving && idle > 0 && vm.State == fleet.VMUp && !k.heldByWave(name, p.Spare) && k.mayOrder(name) {
-			p.Idle = append(p.Idle, lending.VM{Name: name, Idle: idle, Cores: coresOf(vm), Labels: vm.Labels})
+			p.Idle = append(p.Idle, described)
 		}
 	}
 	var pools []lending.Pool
@@ -101,17 +102,6 @@
 
 func coresOf(vm fleet.VM) float64 { return float64(vm.Room.CPU) / 1000 }
 
-// countVM counts a VM among those that a pool has.
-func countVM(p *lending.Pool, vm fleet.VM) {
-	p.VMs++
-	p.Room += coresOf(vm)
-	for i := range p.Wants {
-		if slices.Contains(vm.Labels, p.Wants[i].Label) {
-			p.Wants[i].Have += coresOf(vm)
-		}
-	}
-}
-
 // idleFor returns for how long a VM has had no work, zero where it has some,
 // and whether it can serve.
 func (k *Kernel) idleFor(vm fleet.VM, x *executor) (time.Duration, bool) {
--- a/core/lending/plan.go
+++ b/core/lending/plan.go
@@ -119,13 +119,18 @@
 	return label, enough
 }
 
-// add counts a VM for or against a pool.
-func (p *Pool) add(vm VM, sign float64) {
-	p.VMs += int(sign)
-	p.Room += sign * vm.Cores
+// Add counts a VM among those that the pool has.
+func (p *Pool) Add(vm VM) { p.count(vm, 1) }
+
+// Remove counts a VM no more.
+func (p *Pool) Remove(vm VM) { p.count(vm, -1) }
+
+func (p *Pool) count(vm VM, n int) {
+	p.VMs += n
+	p.Room += float64(n) * vm.Cores
 	for i := range p.Wants {
 		if slices.Contains(vm.Labels, p.Wants[i].Label) {
-			p.Wants[i].Have += sign * vm.Cores
+			p.Wants[i].Have += float64(n) * vm.Cores
 		}
 	}
 }
@@ -172,7 +177,7 @@
 		d := donors[i]
 		donors = slices.Delete(donors, i, i+1)
 		moves = append(moves, Move{d.vm.Name, needy.Name})
-		needy.add(d.vm, 1)
+		needy.Add(d.vm)
 	}
 	spare := slices.IndexFunc(pools, func(p Pool) bool { return p.Spare })
 	if spare < 0 {
@@ -203,7 +208,7 @@
 		for _, vm := range idle {
 			if p.spares(vm) {
 				all = append(all, donor{vm, p})
-				p.add(vm, -1)
+				p.Remove(vm)
 			}
 		}
 	}
