Let no node that claims or owns the pools be a witness of an outage

Cause, found by reading the change: a node whose claim was under way, or that owned the pools after it, said that it had no store when an earlier owner asked, which then went on beside it. TestOwnerIsNoWitness failed before (by construction: the flag is new).

--- a/edge/outage.go
+++ b/edge/outage.go
@@ -105,9 +105,10 @@
 	return p.relay != nil && mono() > time.Duration(p.relay.answered.Load())+lostAfter
 }
 
-// handleOutage tells a peer whether this node has the store.
+// handleOutage tells a peer whether this node has the store. One that claims the pools
+// or owns them does not say that it cannot.
 func (p *Process) handleOutage(context.Context, struct{}) (storeView, error) {
-	return p.outage.deny(mono(), p.lost()), nil
+	return p.outage.deny(mono(), p.lost() && !p.owner.engaged.Load()), nil
 }
 
 // bridgeOutage asks all peers while this node owns the pools without the store, and
--- a/edge/outage_test.go
+++ b/edge/outage_test.go
@@ -74,6 +74,19 @@
 	require.True(t, free)
 }
 
+// TestOwnerIsNoWitness asks a node without the store that claims the pools, or owns
+// them, while an earlier owner is alive.
+func TestOwnerIsNoWitness(t *testing.T) {
+	p := &Process{relay: &Relay{}, owner: &owner{}}
+	v, err := p.handleOutage(context.Background(), struct{}{})
+	require.NoError(t, err)
+	require.True(t, v.Lost)
+	p.owner.engaged.Store(true)
+	v, err = p.handleOutage(context.Background(), struct{}{})
+	require.NoError(t, err)
+	require.False(t, v.Lost)
+}
+
 // TestDenial is what a node owes to an owner that relied on its word.
 func TestDenial(t *testing.T) {
 	var o outage
--- a/edge/owner.go
+++ b/edge/owner.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
@@ -41,6 +42,7 @@
 
 var (
 	errNotOwner  = errors.New("this node does not own the pools")
+	errTrusted   = errors.New("an owner may rely on this node having no store")
 	errUncertain = errors.New("the owner ended before it answered")
 )
 
@@ -71,6 +73,8 @@
 	trusted func() time.Duration
 	// cutOff reports whether the store does not answer this node directly.
 	cutOff func() bool
+	// engaged says that this node claims the pools or owns them.
+	engaged atomic.Bool
 	// stopping keeps a node that ends from claiming.
 	stopping bool
 	// yielded is when this node last gave the pools up since it was too slow.
@@ -196,7 +200,12 @@
 
 // own claims the pools and serves them until the ownership is lost.
 func (o *owner) own(ctx context.Context, expected int64) error {
+	o.engaged.Store(true)
+	defer o.engaged.Store(false)
 	began := mono()
+	if mono() <= o.trusted() {
+		return errTrusted
+	}
 	claim, err := o.claim(ctx, expected)
 	if err != nil {
 		return err
