--- a/edge/outage.go
+++ b/edge/outage.go
@@ -108,7 +108,11 @@
 // handleOutage tells a peer whether this node has the store. One that claims the pools
 // or owns them does not say that it cannot.
 func (p *Process) handleOutage(context.Context, struct{}) (storeView, error) {
-	return p.outage.deny(mono(), p.lost() && !p.owner.engaged.Load()), nil
+	// The word is noted before the node looks whether it claims, and a claim begins
+	// before it looks whether the word was given: one of the two sees the other.
+	v := p.outage.deny(mono(), p.lost())
+	v.Lost = v.Lost && !p.owner.engaged.Load()
+	return v, nil
 }
 
 // bridgeOutage asks all peers while this node owns the pools without the store, and
