Work out a pool's capacity once an admission, sum its need in whole numbers

Found by reading the change: admission went over all executors two or three times for each job where once is enough; what a pool needs was summed as fractions in the order of a map, so that the kernel could differ in the last bit from play to play; the end of the proof was spelled out twice, and outageHold was another name of hold. Behaviour stays as it is; tests of cell, lending and edge pass under the race detector.

--- a/core/cell/executors.go
+++ b/core/cell/executors.go
@@ -118,14 +118,11 @@
 	if x.clock == 0 {
 		return 0
 	}
-	left := min(k.hold(), max(k.until, k.outage)+k.outageHold()-k.now.Mono)
+	left := min(k.hold(), k.provedUntil()+k.hold()-k.now.Mono)
 	elapsed := k.now.Mono - x.clockAt
 	return x.clock + (elapsed + left).Milliseconds()
 }
 
-// outageHold is for how long past the proof of ownership runs may go on.
-func (k *Kernel) outageHold() time.Duration { return k.hold() }
-
 // checkExecutors drops the runs of executors that must have ended them.
 func (k *Kernel) checkExecutors() {
 	for _, x := range slices.Clone(k.sorted()) {
@@ -182,7 +179,11 @@
 }
 
 // proved reports whether no other node can own the pools now.
-func (k *Kernel) proved() bool { return k.now.Mono <= max(k.until, k.outage) }
+func (k *Kernel) proved() bool { return k.now.Mono <= k.provedUntil() }
+
+// provedUntil is until when no other node can own the pools: by our lease, or for want
+// of the store.
+func (k *Kernel) provedUntil() time.Duration { return max(k.until, k.outage) }
 
 // trustAgain lets the tasks wait again that were lost while the ownership was not
 // proved: it is proved to have stood all along.
--- a/core/cell/lend.go
+++ b/core/cell/lend.go
@@ -131,6 +131,8 @@
 // describeNeed fills in what a pool needs now or when a VM that is ordered now could
 // serve.
 func (k *Kernel) describeNeed(p *lending.Pool) {
+	// Sums are in thousandths of a core, which are whole numbers for runs: their order
+	// in a map changes nothing.
 	var service, running, waiting float64
 	wants := map[string]*lending.Want{}
 	add := func(label string, required bool, cores float64) {
@@ -153,7 +155,7 @@
 			continue
 		}
 		for _, r := range x.runs {
-			cores := float64(r.reserved.CPU) / 1000
+			cores := float64(r.reserved.CPU)
 			if r.step.Service {
 				service += cores
 			} else {
@@ -166,7 +168,7 @@
 		if s.job.state.Ended() || !k.isDue(s, k.Move+lendAhead) {
 			continue
 		}
-		cores := float64(int64(s.waiting)*s.Reserved().CPU) / 1000
+		cores := float64(int64(s.waiting) * s.Reserved().CPU)
 		if s.Service {
 			service += cores
 		} else {
@@ -175,9 +177,10 @@
 		}
 		want(s, cores)
 	}
-	p.Cores = service + max(running+waiting, k.pool(p.Name).demand.Rate(k.now.Mono))
+	p.Cores = service/1000 + max((running+waiting)/1000, k.pool(p.Name).demand.Rate(k.now.Mono))
 	p.Floor = k.floor(p.Name)
 	for _, label := range slices.Sorted(maps.Keys(wants)) {
+		wants[label].Cores /= 1000
 		p.Wants = append(p.Wants, *wants[label])
 	}
 }
--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -79,7 +79,7 @@
 	}
 	chain := j.Chain()
 	due := first + objectiveOf(queue, chain)
-	wait, ok := k.expectedWait(j, queue, due)
+	wait, ok := k.expectedWait(j, queue, due, c)
 	if !ok {
 		return Answer{Verdict: Refused, RetryAfter: maxRetryAfter, Reason: "no executor to serve the queue"}
 	}
@@ -90,7 +90,7 @@
 	if k.now.Mono+chain <= first+lateFactor*(due-first) {
 		// A late job goes behind all others. While nothing waits for the executors
 		// that are free, late is better than never.
-		if all, _ := k.expectedWait(j, queue, math.MaxInt64); all == 0 {
+		if all, _ := k.expectedWait(j, queue, math.MaxInt64, c); all == 0 {
 			return Answer{Verdict: Accepted}
 		}
 	}
@@ -101,11 +101,14 @@
 }
 
 // expectedWait returns how long a job would wait for executors behind the work that
-// is due before it, and whether there are any.
-func (k *Kernel) expectedWait(j *job.Job, queue *fleet.Queue, due time.Duration) (time.Duration, bool) {
+// is due before it, and whether there are any; whole is what its whole pool can give.
+func (k *Kernel) expectedWait(j *job.Job, queue *fleet.Queue, due time.Duration, whole capacity) (time.Duration, bool) {
 	var wait time.Duration
 	for _, label := range labelsOf(j) {
-		c := k.capacity(queue.Pool, label)
+		c := whole
+		if label != "" {
+			c = k.capacity(queue.Pool, label)
+		}
 		if c.now+c.later <= 0 {
 			return 0, false
 		}
