Carry the owner's calls to executors through other nodes

Change: every node holds one link to the owner, a stream of JSON messages both ways over one HTTP request. Callers' requests go up and answers down in it; orders to executors go to a few large nodes in the executor's data centre (core/carrier decides which), one message a decision, and their answers come back gathered over 10 ms. An order that is over 600 ms old on the owner's clock is not sent. Nodes that have read nothing recent lose their executors; what they have not reported is unknown to the kernel, as an unanswered call was. While the owner's own VM suffices for all executors it calls them itself, so small deployments are as before. POST /owner stays for nodes without a link and for old builds. Ruled out: one HTTP call a batch each way (a poll that waits and a report beside it cost two exchanges where a stream costs two writes).

--- a/commands/edge.go
+++ b/commands/edge.go
@@ -54,7 +54,7 @@
 	kernelSettings := settings.Bounds.KernelSettings()
 	kernelSettings.VMOrdersPerS = settings.CloudAPI.DutyPerS
 	process := edge.New(edge.Settings{
-		Node: settings.Node, Front: settings.Listen.Front, Ready: settings.Listen.Ready,
+		Node: settings.Node, DataCentre: settings.Zone, Front: settings.Listen.Front, Ready: settings.Listen.Ready,
 		Peer:   net.JoinHostPort(settings.IP, strconv.Itoa(settings.PortRange[0])),
 		Kernel: kernelSettings, Cores: settings.Limits.CPUShare * settings.Limits.Cores,
 	}, edge.Dependencies{
--- /dev/null
+++ b/common/jsonstream/stream_test.go
@@ -0,0 +1,159 @@
+package jsonstream
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"jacinthwind/common/jsonhttp"
+)
+
+const testSilence = 5 * time.Second
+
+type testMessage struct {
+	Text string `json:"text"`
+}
+
+// serveStreams starts a server that passes each accepted stream to f.
+func serveStreams(t *testing.T, silence time.Duration, f func(*Stream)) string {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s, err := Accept(w, r, silence)
+		if err != nil {
+			return
+		}
+		defer s.Close()
+		f(s)
+	}))
+	t.Cleanup(server.Close)
+	return server.URL
+}
+
+// TestMessagesPassBothWaysAtOnce sends many messages in both directions at the same
+// time, and checks that both ends receive them in order.
+func TestMessagesPassBothWaysAtOnce(t *testing.T) {
+	const count = 500
+	send := func(s *Stream) error {
+		for i := range count {
+			if err := s.Send(testMessage{fmt.Sprint(i, strings.Repeat("x", i*20))}); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	receive := func(s *Stream) error {
+		for i := range count {
+			var m testMessage
+			if err := s.Receive(&m); err != nil {
+				return err
+			}
+			if want := fmt.Sprint(i, strings.Repeat("x", i*20)); m.Text != want {
+				return fmt.Errorf("message %d is %.10s", i, m.Text)
+			}
+		}
+		return nil
+	}
+	served := make(chan error, 2)
+	url := serveStreams(t, testSilence, func(s *Stream) {
+		sent := make(chan error, 1)
+		go func() { sent <- send(s) }()
+		served <- receive(s)
+		served <- <-sent
+	})
+	s, err := Open(t.Context(), http.DefaultClient, url, testSilence)
+	require.NoError(t, err)
+	defer s.Close()
+	sent := make(chan error, 1)
+	go func() { sent <- send(s) }()
+	require.NoError(t, receive(s))
+	require.NoError(t, <-sent)
+	require.NoError(t, <-served)
+	require.NoError(t, <-served)
+}
+
+// TestSilentPeerEndsStream checks at each end that a stream without messages ends.
+func TestSilentPeerEndsStream(t *testing.T) {
+	ended := make(chan error, 1)
+	url := serveStreams(t, 50*time.Millisecond, func(s *Stream) {
+		var m testMessage
+		ended <- s.Receive(&m)
+	})
+	s, err := Open(t.Context(), http.DefaultClient, url, testSilence)
+	require.NoError(t, err)
+	defer s.Close()
+	require.Error(t, <-ended)
+
+	hold := make(chan struct{})
+	url = serveStreams(t, testSilence, func(*Stream) { <-hold })
+	defer close(hold)
+	s, err = Open(t.Context(), http.DefaultClient, url, 50*time.Millisecond)
+	require.NoError(t, err)
+	require.Error(t, s.Receive(&testMessage{}))
+	require.Error(t, s.Send(testMessage{}))
+}
+
+// TestRefusalAndEndAreReported checks what Open and Receive return when the peer
+// refuses a stream, ends it, or ctx ends.
+func TestRefusalAndEndAreReported(t *testing.T) {
+	refusing := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		Refuse(w, http.StatusConflict, "not here")
+	}))
+	defer refusing.Close()
+	_, err := Open(t.Context(), http.DefaultClient, refusing.URL, testSilence)
+	var status *jsonhttp.StatusError
+	require.ErrorAs(t, err, &status)
+	require.Equal(t, http.StatusConflict, status.Code)
+
+	// A handler that knows no streams waits for the request's end.
+	unaware := httptest.NewServer(http.NotFoundHandler())
+	defer unaware.Close()
+	_, err = Open(t.Context(), http.DefaultClient, unaware.URL, 50*time.Millisecond)
+	require.Error(t, err)
+
+	url := serveStreams(t, testSilence, func(s *Stream) { _ = s.Send(testMessage{"last"}) })
+	s, err := Open(t.Context(), http.DefaultClient, url, testSilence)
+	require.NoError(t, err)
+	var m testMessage
+	require.NoError(t, s.Receive(&m))
+	require.Equal(t, "last", m.Text)
+	require.Error(t, s.Receive(&m))
+	s.Close()
+
+	hold := make(chan struct{})
+	defer close(hold)
+	url = serveStreams(t, testSilence, func(*Stream) { <-hold })
+	ctx, cancel := context.WithCancel(t.Context())
+	s, err = Open(ctx, http.DefaultClient, url, testSilence)
+	require.NoError(t, err)
+	cancel()
+	require.Error(t, s.Receive(&m))
+}
+
+// TestMalformedMessageLeavesStreamUsable checks that a message that cannot be
+// decoded does not end the stream, and that one that is too long does.
+func TestMalformedMessageLeavesStreamUsable(t *testing.T) {
+	url := serveStreams(t, testSilence, func(s *Stream) {
+		_ = s.write([]byte("{\"text\":7}\n"))
+		_ = s.write([]byte("nonsense\n"))
+		_ = s.Send(testMessage{"good"})
+		_ = s.Send(testMessage{strings.Repeat("x", jsonhttp.MaxMessageBytes)})
+	})
+	s, err := Open(t.Context(), http.DefaultClient, url, testSilence)
+	require.NoError(t, err)
+	defer s.Close()
+	var m testMessage
+	var malformed *DecodeError
+	require.ErrorAs(t, s.Receive(&m), &malformed)
+	require.ErrorAs(t, s.Receive(&m), &malformed)
+	require.NoError(t, s.Receive(&m))
+	require.Equal(t, "good", m.Text)
+	err = s.Receive(&m)
+	require.Error(t, err)
+	require.False(t, errors.As(err, &malformed))
+}
--- a/core/event/platform.go
+++ b/core/event/platform.go
@@ -59,6 +59,13 @@
 	SettingsChanged       Number = 736
 	SettingsSame          Number = 737
 	LinesDropped          Number = 738
+	PanicIsolated         Number = 739
+	LinkFault             Number = 741
+	LinkClosed            Number = 742
+	LinkLost              Number = 743
+	CarrierJoined         Number = 744
+	CarrierLost           Number = 745
+	OrderTooOld           Number = 746
 )
 
 func init() {
@@ -119,6 +126,13 @@
 		SettingsChanged:       "the settings file changed; it takes effect at the next start",
 		SettingsSame:          "the settings file was read again and is unchanged",
 		LinesDropped:          "lines of an event were dropped because of the limit per second",
+		PanicIsolated:         "an unexpected error was confined to one message or request; the stack tells where",
+		LinkFault:             "a link between a node and the owner could not be opened, or a message on it could not be read",
+		LinkClosed:            "the link of a node to this owner ended",
+		LinkLost:              "this node's link to the owner ended or could not be opened; it links again",
+		CarrierJoined:         "a node linked to this owner and may carry its orders",
+		CarrierLost:           "a node carries no more orders; the outcome of those that it had is unknown",
+		OrderTooOld:           "an order was not sent to its executor since it had become too old on its way",
 	} {
 		Catalogue[n] = text
 	}
@@ -149,6 +163,11 @@
 	ConnectionsLeft:      true,
 	SettingsFault:        true,
 	LinesDropped:         true,
+	PanicIsolated:        true,
+	LinkFault:            true,
+	LinkLost:             true,
+	CarrierLost:          true,
+	OrderTooOld:          true,
 }
 
 // IsWarning reports whether the event is logged as a warning.
--- a/core/fleet/order.go
+++ b/core/fleet/order.go
@@ -2,49 +2,49 @@
 
 // StartOrder orders an executor to start a run of a task.
 type StartOrder struct {
-	Address  string
-	Executor string
-	Task     string
-	Run      int
-	Spec     string
+	Address  string `json:"address"`
+	Executor string `json:"executor"`
+	Task     string `json:"task"`
+	Run      int    `json:"run"`
+	Spec     string `json:"spec,omitempty"`
 	// DeadlineMs is a time on the executor's clock. After it the executor refuses
 	// the order, and it ends all its runs at that time unless a later order or
 	// renewal extends the deadline.
-	DeadlineMs int64
-	Token      int64
+	DeadlineMs int64 `json:"deadline_ms"`
+	Token      int64 `json:"token"`
 	// Checkpoint is the checkpoint to resume from, empty to start from the
 	// beginning.
-	Checkpoint string
-	Ticket     string
+	Checkpoint string `json:"checkpoint,omitempty"`
+	Ticket     string `json:"ticket,omitempty"`
 }
 
 // StopOrder orders an executor to end a run.
 type StopOrder struct {
-	Address  string
-	Executor string
-	Task     string
-	Run      int
-	Token    int64
+	Address  string `json:"address"`
+	Executor string `json:"executor"`
+	Task     string `json:"task"`
+	Run      int    `json:"run"`
+	Token    int64  `json:"token"`
 }
 
 // ThrottleOrder orders an executor to throttle a run to a percentage of its
 // speed.
 type ThrottleOrder struct {
 	StopOrder
-	Percent int
+	Percent int `json:"percent"`
 }
 
 // Renewal extends the deadline of all runs of an executor, acknowledges ended
 // runs and requests the executor's state.
 type Renewal struct {
-	Address    string
-	Executor   string
-	DeadlineMs int64
-	Token      int64
+	Address    string `json:"address"`
+	Executor   string `json:"executor"`
+	DeadlineMs int64  `json:"deadline_ms,omitempty"`
+	Token      int64  `json:"token"`
 	// Acknowledged is the number of the last ended run that has been stored.
-	Acknowledged int64
+	Acknowledged int64 `json:"acknowledged,omitempty"`
 	// WaitMs is how long the executor may wait for a run to end before it answers.
-	WaitMs int64
+	WaitMs int64 `json:"wait_ms,omitempty"`
 }
 
 // OrderOutcome is the result of an order to an executor.
@@ -75,31 +75,31 @@
 
 // OrderAnswer is an executor's answer to an order.
 type OrderAnswer struct {
-	Outcome OrderOutcome
+	Outcome OrderOutcome `json:"outcome"`
 	// ClockMs is the time on the executor's clock, zero if the answer has none.
-	ClockMs int64
+	ClockMs int64 `json:"clock_ms,omitempty"`
 }
 
 // ExecutorState is an executor's answer to a renewal.
 type ExecutorState struct {
-	Outcome OrderOutcome
-	ClockMs int64
+	Outcome OrderOutcome `json:"outcome"`
+	ClockMs int64        `json:"clock_ms,omitempty"`
 	// StartedMs is the Unix time in milliseconds at which the incarnation started.
-	StartedMs int64
-	Active    []ActiveRun
-	Ended     []EndedRun
+	StartedMs int64       `json:"started_ms,omitempty"`
+	Active    []ActiveRun `json:"active,omitempty"`
+	Ended     []EndedRun  `json:"ended,omitempty"`
 }
 
 // ActiveRun is a run in progress on an executor.
 type ActiveRun struct {
-	Task       string
-	Run        int
-	Checkpoint string
+	Task       string `json:"task"`
+	Run        int    `json:"run"`
+	Checkpoint string `json:"checkpoint,omitempty"`
 	// Percent is the progress of the work; a service task that serves reports 100.
-	Percent int
+	Percent int `json:"percent,omitempty"`
 	// Load is the tail latency in milliseconds for a service task, and the
 	// processor time in use in thousandths of a core for any other task.
-	Load int64
+	Load int64 `json:"load,omitempty"`
 }
 
 // RunEnd is how a run ended.
@@ -121,11 +121,11 @@
 // EndedRun is a run that ended and has not been acknowledged.
 type EndedRun struct {
 	// Number increases with every run end of an incarnation of the executor.
-	Number     int64
-	Task       string
-	Run        int
-	End        RunEnd
-	Checkpoint string
+	Number     int64  `json:"number"`
+	Task       string `json:"task"`
+	Run        int    `json:"run"`
+	End        RunEnd `json:"end"`
+	Checkpoint string `json:"checkpoint,omitempty"`
 }
 
 // VMOrderOutcome is the result of an order for a VM.
--- a/edge/host.go
+++ b/edge/host.go
@@ -50,6 +50,8 @@
 	onDeposed func(reason string)
 	// onOverload is called while this VM is too slow for the pools.
 	onOverload func()
+	// links holds the nodes that carry orders; nil means that there are none.
+	links *linkSet
 
 	ctx        context.Context
 	cancel     context.CancelFunc
@@ -66,7 +68,10 @@
 	tickScheduled bool
 	// handingOver stops all orders while the ownership is handed over.
 	handingOver bool
-	overload    overloadDetector
+	// broken stops all decisions after an internal error.
+	broken   bool
+	overload overloadDetector
+	carriers carriers
 }
 
 // submission passes a job or a cancellation to the kernel and receives its answer.
@@ -102,6 +107,9 @@
 	h.goroutines.Go(h.runWriter)
 	h.goroutines.Go(h.watchExecutors)
 	h.goroutines.Go(h.runIdleTicks)
+	if h.links != nil {
+		h.links.attach(h.send)
+	}
 }
 
 // stop stops the kernel and waits for all its calls to end.
@@ -143,9 +151,44 @@
 	}
 }
 
-// receive processes one message of the actor.
+// receive processes one message of the actor. After an internal error the kernel's
+// state cannot be relied on, so the pools are handed over to another node.
 func (h *host) receive(c actor.Context) {
-	switch m := c.Message().(type) {
+	if h.broken {
+		h.refuse(c.Message())
+		return
+	}
+	err := guard(h.log, "decide", func() error {
+		h.handle(c.Message())
+		return nil
+	})
+	if err != nil {
+		h.broken = true
+		h.refuse(c.Message())
+		go h.onDeposed(err.Error())
+	}
+}
+
+// refuse answers a message that is not processed.
+func (h *host) refuse(message any) {
+	switch m := message.(type) {
+	case submission:
+		select {
+		case m.answer <- cell.Answer{Verdict: verdictNotOwner}:
+		default:
+		}
+	case inspection:
+		select {
+		case <-m.done:
+		default:
+			close(m.done)
+		}
+	}
+}
+
+// handle processes one message.
+func (h *host) handle(message any) {
+	switch m := message.(type) {
 	case scheduledTick:
 		h.idleTickPending.Store(false)
 		h.tickScheduled = false
@@ -154,6 +197,7 @@
 		if h.overload.recordTick(monotonicNow(), time.Since(m.due)) {
 			h.onOverload()
 		}
+		h.checkCarriers()
 		h.step(cell.Tick{})
 	case submission:
 		if h.handingOver {
@@ -169,14 +213,28 @@
 	case beginHandover:
 		h.handingOver = true
 		h.step(cell.Tick{})
+	case linkJoined:
+		h.joinCarrier(m.link)
+	case linkLeft:
+		h.loseCarrier(m.link)
+	case linkRead:
+		h.readCarrier(m)
 	case cell.Written:
 		h.step(m)
 	case cell.Event:
-		// Reports of executors are not acknowledged during a handover: executors repeat
-		// them to the next owner, and no further records have to be stored here.
-		if !h.handingOver {
-			h.step(m)
+		if e, ok := m.(cell.ExecutorsListed); ok {
+			h.carriers.setExecutors(e.Executors)
 		}
+		h.pass(m)
+	}
+}
+
+// pass passes the report of an executor or of a service to the kernel. During a
+// handover none is acknowledged: they are repeated to the next owner, and no further
+// records have to be stored here.
+func (h *host) pass(e cell.Event) {
+	if !h.handingOver {
+		h.step(e)
 	}
 }
 
@@ -185,6 +243,7 @@
 	for _, effect := range h.kernel.Step(now(), e) {
 		h.applyEffect(effect)
 	}
+	h.carriers.flush()
 	if _, tick := e.(cell.Tick); !tick && !h.tickScheduled {
 		h.tickScheduled = true
 		due := time.Now().Add(batchDelay)
@@ -226,30 +285,11 @@
 	if h.handingOver {
 		return
 	}
+	if o, ok := newOrder(effect); ok {
+		h.sendOrder(o)
+		return
+	}
 	switch e := effect.(type) {
-	case cell.Start:
-		h.callAsync(orderTimeout, func(ctx context.Context) cell.Event {
-			sent := monotonicNow()
-			answer := h.executors.Start(ctx, e.Order)
-			h.metrics.recordCall("executor", string(answer.Outcome), monotonicNow()-sent)
-			return cell.Started{Executor: e.Order.Executor, Task: e.Order.Task, Run: e.Order.Run, Sent: sent, Answer: answer}
-		})
-	case cell.Stop:
-		h.callAsync(orderTimeout, func(ctx context.Context) cell.Event {
-			sent := monotonicNow()
-			return cell.Stopped{Executor: e.Order.Executor, Task: e.Order.Task, Run: e.Order.Run, Sent: sent, Answer: h.executors.Stop(ctx, e.Order)}
-		})
-	case cell.Throttle:
-		h.callAsync(orderTimeout, func(ctx context.Context) cell.Event {
-			h.executors.Throttle(ctx, e.Order)
-			return cell.Tick{}
-		})
-	case cell.Renew:
-		timeout := time.Duration(e.Order.WaitMs)*time.Millisecond + renewGrace
-		h.callAsync(timeout, func(ctx context.Context) cell.Event {
-			sent := monotonicNow()
-			return cell.Renewed{Executor: e.Order.Executor, Sent: sent, State: h.executors.Renew(ctx, e.Order)}
-		})
 	case cell.MaintainVM:
 		h.callAsync(vmOrderTimeout, func(ctx context.Context) cell.Event {
 			return cell.VMOrdered{VM: e.VM, Outcome: h.vms.Maintain(ctx, e.VM, e.Wave, h.node, e.Token)}
--- a/edge/owner.go
+++ b/edge/owner.go
@@ -42,6 +42,11 @@
 	// next.
 	runsPerGeneration = 100_000
 	handoverTimeout   = 700 * time.Millisecond
+	// linkWait is how long after its claim an owner waits for all but one of
+	// linkedDivisor nodes to link.
+	linkWait      = 250 * time.Millisecond
+	linkWaitStep  = 10 * time.Millisecond
+	linkedDivisor = 5
 )
 
 var (
@@ -87,6 +92,10 @@
 	yieldedAt     time.Duration
 	recordChanged chan struct{}
 	endReasons    chan string
+	// links holds the nodes that carry orders, and peers lists the addresses of the
+	// nodes that may; both may be nil.
+	links *linkSet
+	peers func() []string
 }
 
 // setRecord stores the owner's record as read from the store.
@@ -222,6 +231,10 @@
 	if err != nil {
 		return err
 	}
+	if o.links != nil {
+		o.links.open()
+		defer o.links.close()
+	}
 	k := cell.New(o.settings, now(), claim.token, int(claim.sequence.Generation-1)*runsPerGeneration)
 	k.Step(now(), cell.LeaseExtended{Until: claim.until})
 	k.Step(now(), cell.Configured{Configuration: o.operatorState().Configuration})
@@ -238,12 +251,15 @@
 		return fmt.Errorf("load stored records: %w", err)
 	}
 	k.Step(now(), cell.LeaseExtended{Until: until})
+	o.awaitLinks(ctx, began)
 	h := &host{
 		kernel: k, node: o.self.Node, executors: o.executors, vms: o.vms, advisor: o.advisor,
 		codec: o.codec, store: o.store, log: o.log, metrics: o.metrics,
 		writer:    &writer{store: o.store, codec: o.codec, log: o.log, sequence: claim.sequence, revision: claim.token},
 		onDeposed: o.endOwnership, onOverload: func() { o.yield("this VM is too slow for the pools") },
+		links: o.links,
 	}
+	h.carriers.assigner.OwnerCores = o.cores
 	// The first call of the kernel may already detect a later owner.
 	endReasons := make(chan string, 1)
 	o.mu.Lock()
@@ -268,6 +284,17 @@
 	return nil
 }
 
+// awaitLinks waits for a short time after a claim until most nodes have linked, so
+// that the executors are divided among all of them at once.
+func (o *ownership) awaitLinks(ctx context.Context, began time.Duration) {
+	if o.links == nil {
+		return
+	}
+	for monotonicNow() < began+linkWait && linkedDivisor*o.links.count() < (linkedDivisor-1)*len(o.peers()) {
+		sleep(ctx, linkWaitStep)
+	}
+}
+
 func (o *ownership) operatorState() *core.OperatorState {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/edge/owner_call.go
+++ b/edge/owner_call.go
@@ -95,8 +95,13 @@
 	if record.Incarnation == p.incarnation {
 		return p.handleOwner(ctx, call)
 	}
-	// If the owner's VM is gone, the dial fails and nothing is sent.
 	began := time.Now()
+	if l := p.link.Load(); l != nil && l.hello.Owner == record.Incarnation {
+		a, err := l.call(ctx, call)
+		p.metrics.recordCall("link", outcomeLabel(err), time.Since(began))
+		return a, err
+	}
+	// If the owner's VM is gone, the dial fails and nothing is sent.
 	a, err := jsonhttp.Call[ownerAnswer](ctx, p.peerClient, http.MethodPost, "http://"+record.Address+ownerPath, call)
 	p.metrics.recordCall("owner", outcomeLabel(err), time.Since(began))
 	return a, err
--- a/edge/process.go
+++ b/edge/process.go
@@ -38,6 +38,8 @@
 // Settings holds the addresses of a process and the settings of its kernel.
 type Settings struct {
 	Node string
+	// DataCentre is where the VM stands.
+	DataCentre string
 	// Front, Ready and Peer are the addresses to listen on.
 	Front, Ready, Peer string
 	Kernel             cell.Settings
@@ -72,6 +74,10 @@
 	log         *eventlog.Log
 	ownership   *ownership
 	outage      outageTracker
+	// links holds the nodes that link to this one as the owner, and link is this
+	// node's link to another owner, nil without one.
+	links linkSet
+	link  atomic.Pointer[nodeLink]
 
 	configuration atomic.Pointer[fleet.Configuration]
 	stopping      atomic.Bool
@@ -94,6 +100,8 @@
 			return slog.New(slog.DiscardHandler)
 		})),
 	}
+	p.links = linkSet{incarnation: p.incarnation, log: d.Log, handle: p.handleOwner}
+	p.ownership.links, p.ownership.peers = &p.links, p.listPeers
 	if d.Relay != nil {
 		d.Relay.peers = p.listPeers
 		p.ownership.cutOff = d.Relay.isCutOff
@@ -111,7 +119,7 @@
 func (p *Process) Run(ctx context.Context) error {
 	var group run.Group
 	work, stopWork := context.WithCancel(context.Background())
-	for _, loop := range []func(context.Context){p.watchOperatorState, p.watchLiveNodes, p.keepRegistered, p.confirmOutages, p.ownership.run} {
+	for _, loop := range []func(context.Context){p.watchOperatorState, p.watchLiveNodes, p.keepRegistered, p.confirmOutages, p.keepLink, p.ownership.run} {
 		c, cancel := context.WithCancel(work)
 		group.Add(func() error { loop(c); return nil }, func(error) { cancel() })
 	}
@@ -161,6 +169,7 @@
 	peer := http.NewServeMux()
 	jsonhttp.Handle(peer, "POST "+ownerPath, p.handleOwner)
 	jsonhttp.Handle(peer, "POST "+outagePath, p.handleOutage)
+	peer.HandleFunc("POST "+linkPath, p.links.serve)
 	if p.relay != nil {
 		peer.HandleFunc("POST "+relayPath, p.relay.serveRelayed)
 	}
@@ -194,8 +203,10 @@
 	// StoreMs is how long ago the store last answered, in milliseconds.
 	StoreMs int64    `json:"store_ms"`
 	Peers   []string `json:"peers"`
-	// Cell is the state of the owner's kernel, nil on other nodes.
-	Cell *cell.Dump `json:"cell,omitempty"`
+	// Carriers is the number of executors that each linked node carries, and Cell is
+	// the state of the owner's kernel; both are nil on other nodes.
+	Carriers map[string]int `json:"carriers,omitempty"`
+	Cell     *cell.Dump     `json:"cell,omitempty"`
 }
 
 // serveDump answers with the state of this process.
@@ -209,10 +220,14 @@
 		d.StoreMs = (monotonicNow() - time.Duration(p.relay.lastAnswer.Load())).Milliseconds()
 	}
 	if h := p.ownership.currentHost(); h != nil {
-		found := make(chan cell.Dump, 1)
-		if h.inspect(r.Context(), func(k *cell.Kernel) { found <- k.Dump(now()) }) == nil {
-			dump := <-found
-			d.Cell = &dump
+		type state struct {
+			cell     cell.Dump
+			carriers map[string]int
+		}
+		found := make(chan state, 1)
+		if h.inspect(r.Context(), func(k *cell.Kernel) { found <- state{k.Dump(now()), h.carriers.describe()} }) == nil {
+			s := <-found
+			d.Cell, d.Carriers = &s.cell, s.carriers
 		}
 	}
 	jsonhttp.Write(w, http.StatusOK, d)
@@ -232,6 +247,9 @@
 func (p *Process) stop(servers []listeningServer) {
 	p.log.Event(event.ProcessStopping)
 	p.stopping.Store(true)
+	if l := p.link.Load(); l != nil {
+		l.leave()
+	}
 	p.ownership.handOver()
 	time.Sleep(balancerNoticeDelay)
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
