Measure the rate of many jobs with less error

The mean work of a job, whose sizes differ tenfold, followed the last ten jobs. Change: the mean work follows some thirty jobs; the number of jobs is counted over 600 ms, or over 200 ms less a tenth while it rises. Ruled out: 300 ms for all queues, as a quiet queue's burst is then known later.

--- a/core/demand/tracker.go
+++ b/core/demand/tracker.go
@@ -12,15 +12,21 @@
 	// minSpan is the shortest time over which the rate is measured; it limits the
 	// rate of a few jobs that arrive at the same moment.
 	minSpan = 200 * time.Millisecond
-	// historySize is how many arrivals are kept: those of minSpan at 2,500 jobs a
+	// longSpan is the time over which the rate of many jobs is measured, with less
+	// error than over minSpan. While the rate rises, that over minSpan counts, less
+	// shortSpanMargin of it for its error.
+	longSpan        = 600 * time.Millisecond
+	shortSpanMargin = 0.1
+	// historySize is how many arrivals are kept: those of longSpan at 850 jobs a
 	// second.
 	historySize = 512
 	// burstEndGaps is the number of mean gaps without a job after which a burst is
 	// over. Jobs that arrive at random leave such a gap in one of fifty cases.
 	burstEndGaps = 4
 	// minWorkWeight is the smallest weight of a new job in the mean work; the
-	// first jobs weigh more.
-	minWorkWeight = 0.1
+	// first jobs weigh more. The work of jobs of one queue differs by a factor of
+	// ten and more.
+	minWorkWeight = 0.03
 )
 
 // Tracker estimates the rate of the work that is submitted to one pool. Its
@@ -52,7 +58,7 @@
 }
 
 // Rate returns the rate of submitted work in cores: of the last sampleSize jobs, or of
-// all jobs in minSpan if they are more. It falls as time passes without jobs, and is
+// all jobs in minSpan and longSpan if they are more. It falls as time passes without jobs, and is
 // zero before sampleSize jobs were recorded and once a burst is over.
 func (t *Tracker) Rate(now time.Duration) float64 {
 	if t.count < sampleSize {
@@ -62,9 +68,19 @@
 	if gap := max(newest-oldest, minSpan) / (sampleSize - 1); now-newest > burstEndGaps*gap+minSpan {
 		return 0
 	}
-	recent := sampleSize
-	for recent < len(t.arrivals) && t.arrival(recent) > now-minSpan {
-		recent++
+	if now-oldest >= minSpan {
+		return t.meanWork * sampleSize / (now - oldest).Seconds()
 	}
-	return t.meanWork * float64(recent) / max(now-oldest, minSpan).Seconds()
+	short := float64(t.countSince(now-minSpan)) / minSpan.Seconds()
+	long := float64(t.countSince(now-longSpan)) / longSpan.Seconds()
+	return t.meanWork * max(short*(1-shortSpanMargin), long)
+}
+
+// countSince returns how many of the recorded jobs arrived after a time.
+func (t *Tracker) countSince(start time.Duration) int {
+	n := 0
+	for n < len(t.arrivals) && t.arrival(n) > start {
+		n++
+	}
+	return n
 }
