Hand the pools over when the messages of most nodes are late

Change: an owner from which most carriers have read nothing recent for 300 ms hands over, like one whose ticks are late; not before it has owned the pools for 8 s. Ruled out: a shorter window for late ticks, since bursts make ticks late as well.

--- a/core/carrier/assigner.go
+++ b/core/carrier/assigner.go
@@ -144,8 +144,8 @@
 
 // Check takes the executors from nodes that have read nothing recent from the owner,
 // and returns the names of the nodes that lost them. If most carriers are late, the
-// cause is on the owner's side, and they keep their executors.
-func (a *Assigner) Check(now time.Duration) []string {
+// cause is on the owner's side: they keep their executors, and ownerSlow is true.
+func (a *Assigner) Check(now time.Duration) (suspected []string, ownerSlow bool) {
 	a.now = now
 	gap := now - a.checkedAt
 	a.checkedAt = now
@@ -166,15 +166,14 @@
 		}
 	}
 	if carriers > 1 && 2*len(late) > carriers {
-		return nil
+		return nil, true
 	}
-	var suspected []string
 	for _, n := range late {
 		suspected = append(suspected, n.Name)
 		n.suspectedUntil = now + suspicionDuration
 		a.release(n)
 	}
-	return suspected
+	return suspected, false
 }
 
 // Carried returns the number of executors that are assigned to a node.
--- a/core/carrier/assigner_test.go
+++ b/core/carrier/assigner_test.go
@@ -48,7 +48,8 @@
 				a.Echo(now, n, now-10*time.Millisecond)
 			}
 		}
-		lost = append(lost, a.Check(now)...)
+		suspected, _ := a.Check(now)
+		lost = append(lost, suspected...)
 	}
 	return lost
 }
@@ -127,9 +128,13 @@
 	silent := map[string]bool{"large-00": true, "large-01": true, "large-02": true, "large-03": true}
 	require.Empty(t, runUntil(a, 0, 2*time.Second, nodes, silent))
 	require.Equal(t, before, assignAll(a, 2*time.Second, 300))
+	_, slow := a.Check(2 * time.Second)
+	require.True(t, slow)
 
 	require.Empty(t, runUntil(a, 2*time.Second, 3*time.Second, nodes, nil))
-	require.Empty(t, a.Check(8*time.Second), "the owner was suspended for five seconds")
+	suspected, slow := a.Check(8 * time.Second)
+	require.Empty(t, suspected, "the owner was suspended for five seconds")
+	require.False(t, slow)
 	require.Equal(t, before, assignAll(a, 8*time.Second, 300))
 }
 
--- a/edge/host_carriers.go
+++ b/edge/host_carriers.go
@@ -18,6 +18,10 @@
 	carryTimeout = 400 * time.Millisecond
 	// carrierCheckInterval is the time between two checks of the nodes and orders.
 	carrierCheckInterval = 50 * time.Millisecond
+	// maxOwnerSlowness is how long the messages to and from most nodes may be late
+	// before the pools are handed over. With the time after which one message is late
+	// it is longer than the work that comes with a burst.
+	maxOwnerSlowness = 300 * time.Millisecond
 )
 
 // outstandingOrder is an order that a node carries.
@@ -35,6 +39,9 @@
 	orders    map[int64]*outstandingOrder
 	lastOrder int64
 	checkedAt time.Duration
+	// slowSince is since when the messages to and from most nodes are late, zero if they
+	// are not.
+	slowSince time.Duration
 	// touched holds the links with orders that wait for flush.
 	touched []*ownerLink
 }
@@ -160,7 +167,15 @@
 		return
 	}
 	c.checkedAt = now
-	for _, name := range c.assigner.Check(now) {
+	suspected, slow := c.assigner.Check(now)
+	if !slow {
+		c.slowSince = 0
+	} else if c.slowSince == 0 {
+		c.slowSince = now
+	} else if now >= c.slowSince+maxOwnerSlowness && now >= h.overload.began+minYieldInterval {
+		h.onOverload()
+	}
+	for _, name := range suspected {
 		l := c.links[name]
 		h.giveUpOrders("the node is slow or silent", name, func(o *outstandingOrder) bool { return o.link == l })
 	}
