Bound what callers and executors can make the owner allocate; mend faults found in reading

A caller's job with a billion occurrences, or with counts whose sum overflows, made the owner allocate a step for each; an executor's list with a large index sized a slice by it and ended the process. Change: occurrences times tasks are limited; estimated work saturates; an index beyond the step is of unknown size; the rest as it should read. Ruled out: handleAdvice's e.Step[17:] cannot panic: shorter names are returned before, and the name is the owner's own. Result: TestHugeNumbersAreRefused, TestExecutorListsNonsense (panicked), TestRequiredLabelPrecedesPreferredRack failed before; TestMoveIsNotCountedForWaveZero, TestSucceededWaveIsForgotten are new.

--- a/core/cell/backlog.go
+++ b/core/cell/backlog.go
@@ -74,14 +74,11 @@
 	b.add(backlogGroup{"", j.priority()}, j.due, sign*j.remainingWork)
 	for _, s := range j.steps {
 		if s.Label != "" && !s.Service && !s.BestEffort {
-			b.add(backlogGroup{s.Label, j.priority()}, j.due, sign*int64(s.Count-s.doneTasks)*s.taskWork())
+			b.add(backlogGroup{s.Label, j.priority()}, j.due, sign*int64(s.Count-s.doneTasks)*s.TaskWork())
 		}
 	}
 }
 
-// taskWork returns the estimated work of one task of the step.
-func (s *stepRun) taskWork() int64 { return s.Size.CPU * s.EstimateMs }
-
 // openJob counts a job with work left for the admission.
 func (k *Kernel) openJob(j *jobState) {
 	k.ensurePool(j.Pool).openJobs[j.ID] = j
@@ -104,12 +101,12 @@
 		return
 	}
 	j := s.job
-	work := min(s.taskWork(), j.remainingWork)
+	work := min(s.TaskWork(), j.remainingWork)
 	j.remainingWork -= work
 	if p := k.ensurePool(j.Pool); p.openJobs[j.ID] != nil {
 		p.backlog.add(backlogGroup{"", j.priority()}, j.due, -work)
 		if s.Label != "" {
-			p.backlog.add(backlogGroup{s.Label, j.priority()}, j.due, -s.taskWork())
+			p.backlog.add(backlogGroup{s.Label, j.priority()}, j.due, -s.TaskWork())
 		}
 	}
 }
--- a/core/cell/kernel_test.go
+++ b/core/cell/kernel_test.go
@@ -328,3 +328,47 @@
 	require.Equal(t, cell.Accepted, w.verdicts[again].Verdict)
 	require.Equal(t, 4, w.countStarts(), "an ended job does not run again")
 }
+
+// TestExecutorListsNonsense lets an executor list a run of a task that the job does not
+// have, with an index that would size a slice of terabytes: the run is stopped, and the
+// owner goes on.
+func TestExecutorListsNonsense(t *testing.T) {
+	w := newWorld(t, 2)
+	w.advance(time.Second)
+	j := simpleJob(1, 1, 1000)
+	j.Steps[0].Service = true
+	w.submitJob(j)
+	w.advance(time.Second)
+	x := w.executors["e0"]
+	for _, task := range []string{j.ID + ".0.0.99999999999999", j.ID + ".0.99999.0", j.ID + ".7.0.0", "nonsense", ""} {
+		x.runs[task] = &fakeRun{task: task, run: 1, service: true}
+	}
+	w.advance(2 * time.Second)
+	require.LessOrEqual(t, len(x.runs), 1, "what nobody wants is stopped")
+	require.Equal(t, job.Running, w.jobState(j.ID))
+}
+
+// TestMoveIsNotCountedForWaveZero checks that a VM that moves is not taken for
+// maintained by a wave with number zero.
+func TestMoveIsNotCountedForWaveZero(t *testing.T) {
+	w := newWorld(t, 6)
+	w.moveOutcome = func(string) fleet.VMOrderOutcome { return fleet.VMOrderInvalid }
+	w.step(cell.WavesUpdated{Waves: []fleet.Wave{{Number: 0, VMs: []string{"vm-e0"}, TimeLimitS: 1000, MaxDown: 1}}})
+	w.advance(2 * time.Second)
+	require.NotEmpty(t, w.moveOrdered)
+	require.Empty(t, w.waveRecord.Done)
+}
+
+// TestSucceededWaveIsForgotten checks that waves leave memory once operators no longer
+// request them, and that one that is requested anew runs again.
+func TestSucceededWaveIsForgotten(t *testing.T) {
+	w := newWorld(t, 2)
+	w.maintenanceSucceeds = true
+	w.step(cell.WavesUpdated{Waves: []fleet.Wave{{Number: 7, VMs: []string{"vm-e0"}, TimeLimitS: 10, MaxDown: 1}}})
+	w.advance(6 * time.Second)
+	waves := w.kernel.Dump(w.clock()).Waves
+	require.Len(t, waves, 1)
+	require.Equal(t, "succeeded", waves[0].Status)
+	w.step(cell.WavesUpdated{})
+	require.Empty(t, w.kernel.Dump(w.clock()).Waves)
+}
--- a/core/cell/recover.go
+++ b/core/cell/recover.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"time"
 
 	"jacinthwind/core/event"
 	"jacinthwind/core/fleet"
@@ -80,7 +79,7 @@
 			}
 		}
 	}
-	k.log(event.RecoveryEnded, "took_ms", (k.now.Monotonic-k.claimedAt)/time.Millisecond, "waiting_tasks", uncertain, "executors", len(k.executors))
+	k.log(event.RecoveryEnded, "took_ms", (k.now.Monotonic - k.claimedAt).Milliseconds(), "waiting_tasks", uncertain, "executors", len(k.executors))
 }
 
 // allFenced reports whether every executor that may be alive has answered. The list
--- a/core/cell/renewal.go
+++ b/core/cell/renewal.go
@@ -218,7 +218,7 @@
 	k.log(event.RunNotWanted, "task", a.Task, "run", a.Run, "executor", x.ID)
 	id, err := job.ParseTaskID(a.Task)
 	j := k.jobs[id.Job]
-	if err != nil || j == nil || id.Step >= len(j.Steps) {
+	if err != nil || j == nil || id.Step >= len(j.Steps) || id.Index >= j.Steps[id.Step].Count {
 		// The size is unknown, so the executor gets no new work until the run has
 		// ended.
 		x.avoidUntil = max(x.avoidUntil, k.now.Monotonic+k.MaxStopDuration)
--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -146,7 +146,7 @@
 	// Of the scheduled jobs only the occurrences that are due compete.
 	for _, s := range k.ensurePool(queue.Pool).readySteps {
 		if s.job.OccurrenceCount > 0 && k.isDue(s, 0) && s.due <= due && (label == "" || s.Label == label) {
-			left += int64(s.waitingTasks) * s.taskWork()
+			left += int64(s.waitingTasks) * s.TaskWork()
 		}
 	}
 	return float64(left) / coreSecond
--- a/core/cell/vm_order.go
+++ b/core/cell/vm_order.go
@@ -171,7 +171,10 @@
 		return
 	}
 	k.log(event.VMOrderAnswered, "vm", e.VM, "outcome", e.Outcome)
-	w := k.waves[o.wave]
+	var w *wave
+	if o.pool == "" {
+		w = k.waves[o.wave]
+	}
 	x := k.executors[o.executor]
 	switch e.Outcome {
 	case fleet.VMOrderDone:
--- a/core/cell/wave.go
+++ b/core/cell/wave.go
@@ -64,8 +64,14 @@
 	waveSucceeded = "succeeded"
 )
 
-// updateWaves adds new waves and updates known ones.
+// updateWaves adds new waves and updates known ones. Waves that have succeeded and are
+// no longer requested are forgotten.
 func (k *Kernel) updateWaves(waves []fleet.Wave) {
+	requested := map[int]bool{}
+	for _, w := range waves {
+		requested[w.Number] = true
+	}
+	maps.DeleteFunc(k.waves, func(n int, w *wave) bool { return !requested[n] && w.reportedStatus == waveSucceeded })
 	for _, w := range waves {
 		if known := k.waves[w.Number]; known != nil {
 			known.Wave = w
--- a/core/job/job.go
+++ b/core/job/job.go
@@ -11,7 +11,11 @@
 const (
 	MaxSpecBytes = 4000
 	MaxSteps     = 1000
-	MaxTasks     = 100_000
+	// MaxTasks limits the tasks of all occurrences together.
+	MaxTasks = 100_000
+	// maxTaskWork limits the estimated work of one task, so that sums over MaxTasks do
+	// not overflow.
+	maxTaskWork = 1 << 45
 )
 
 // State is the state of a job as its caller sees it.
@@ -102,6 +106,15 @@
 	return size
 }
 
+// TaskWork returns the estimated processor time of one task, in thousandths of a core
+// times milliseconds, at most maxTaskWork.
+func (s *Step) TaskWork() int64 {
+	if s.Size.CPU > 0 && s.EstimateMs > maxTaskWork/s.Size.CPU {
+		return maxTaskWork
+	}
+	return s.Size.CPU * s.EstimateMs
+}
+
 // Estimate returns the caller's estimate of a task's run time.
 func (s *Step) Estimate() time.Duration {
 	return time.Duration(s.EstimateMs) * time.Millisecond
@@ -129,7 +142,7 @@
 	var work int64
 	for i := range j.Steps {
 		if s := &j.Steps[i]; !s.Service && !s.BestEffort {
-			work += int64(s.Count) * s.Size.CPU * s.EstimateMs
+			work += int64(s.Count) * s.TaskWork()
 		}
 	}
 	return work
@@ -170,10 +183,16 @@
 				return fmt.Errorf("step %d: after names step %d, which is not an earlier one", i, a)
 			}
 		}
+		if s.Count > MaxTasks {
+			return fmt.Errorf("%d tasks, at most %d", s.Count, MaxTasks)
+		}
 		tasks += s.Count
 	}
 	if tasks > MaxTasks {
 		return fmt.Errorf("%d tasks, at most %d", tasks, MaxTasks)
 	}
+	if j.Occurrences() > MaxTasks/tasks {
+		return fmt.Errorf("%d times %d tasks, at most %d", j.Occurrences(), tasks, MaxTasks)
+	}
 	return nil
 }
--- /dev/null
+++ b/core/job/job_test.go
@@ -0,0 +1,36 @@
+package job_test
+
+import (
+	"math"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"jacinthwind/core/fleet"
+	"jacinthwind/core/job"
+)
+
+// TestHugeNumbersAreRefused checks that no number that a caller sends makes a sum
+// overflow or the owner allocate more than MaxTasks tasks.
+func TestHugeNumbersAreRefused(t *testing.T) {
+	one := job.Step{Count: 1, Size: fleet.Vector{CPU: 1000}}
+	for name, j := range map[string]job.Job{
+		"tasks of one step":       {Steps: []job.Step{{Count: job.MaxTasks + 1}}},
+		"tasks that overflow":     {Steps: []job.Step{{Count: math.MaxInt}, {Count: math.MaxInt}, {Count: 2}}},
+		"occurrences":             {Steps: []job.Step{one}, OccurrenceCount: job.MaxTasks + 1},
+		"occurrences and tasks":   {Steps: []job.Step{{Count: 1000}}, OccurrenceCount: 101},
+		"occurrences that overflow": {Steps: []job.Step{one}, OccurrenceCount: math.MaxInt},
+	} {
+		t.Run(name, func(t *testing.T) { require.Error(t, j.Check()) })
+	}
+	j := job.Job{Steps: []job.Step{{Count: 1000}}, OccurrenceCount: 100}
+	require.NoError(t, j.Check())
+}
+
+func TestEstimatedWorkDoesNotOverflow(t *testing.T) {
+	j := job.Job{Steps: []job.Step{{Count: job.MaxTasks, Size: fleet.Vector{CPU: math.MaxInt64}, EstimateMs: math.MaxInt64}}}
+	require.NoError(t, j.Check())
+	require.Positive(t, j.EstimatedWork())
+	j.Steps[0] = job.Step{Count: 3, Size: fleet.Vector{CPU: 8500}, EstimateMs: 800}
+	require.Equal(t, int64(3*8500*800), j.EstimatedWork())
+}
--- a/core/lending/plan.go
+++ b/core/lending/plan.go
@@ -111,18 +111,18 @@
 	return (needed - present) / needed
 }
 
-// findScarcestLabel returns the label with the largest relative shortfall, where
-// required labels count double, and whether only VMs with that label help since
-// the pool has enough cores and VMs otherwise.
+// findScarcestLabel returns the label with the largest relative shortfall, a required
+// label if one is short, and whether only VMs with that label help since the pool has
+// enough cores and VMs otherwise.
 func (p *Pool) findScarcestLabel() (label string, onlyLabelled bool) {
-	best := 0.0
+	best, isRequired := 0.0, false
 	for _, d := range p.LabelDemands {
 		missing := computeShortfall(d.NeededCores/packingFraction, d.PresentCores)
-		if d.Required {
-			missing *= 2
+		if missing <= 0 || (isRequired && !d.Required) {
+			continue
 		}
-		if missing > best {
-			best, label = missing, d.Label
+		if missing > best || (d.Required && !isRequired) {
+			best, label, isRequired = missing, d.Label, d.Required
 		}
 	}
 	enough := p.TotalCores >= p.NeededCores/packingFraction && p.VMs >= p.MinVMs
--- a/core/lending/plan_test.go
+++ b/core/lending/plan_test.go
@@ -120,3 +120,16 @@
 		})
 	}
 }
+
+// TestRequiredLabelPrecedesPreferredRack checks that a pool that lacks all VMs of a
+// preferred rack still gets the VM with the label that its work requires.
+func TestRequiredLabelPrecedesPreferredRack(t *testing.T) {
+	pools := []lending.Pool{
+		{Name: "busy", VMs: 4, TotalCores: 256, NeededCores: 100, LabelDemands: []lending.LabelDemand{
+			{Label: "r1-1", NeededCores: 64},
+			{Label: "gpu", NeededCores: 64, PresentCores: 40, Required: true},
+		}},
+		{Name: "spare", Spare: true, IdleVMs: []lending.VM{{Name: "vm-1", IdleTime: 1, Cores: 64, Labels: []string{"gpu"}}}},
+	}
+	require.Equal(t, []lending.Move{{VM: "vm-1", Pool: "busy"}}, lending.PlanMoves(pools))
+}
