Send no callers' requests to an owner that still reads; compress links of slow VMs

Change: a node passes requests on once the owner says that it serves; without a link it waits for one, and posts requests only to an owner that takes no links. Nodes below 10 Mbit/s compress their link, and an owner there reads the list of VMs every 2 s. Ruled out: compressing all links, half a megabyte of memory each at the owner.

--- a/commands/edge.go
+++ b/commands/edge.go
@@ -38,6 +38,15 @@
 	serviceConns = 2
 )
 
+const (
+	// slowLinkMbps is the bandwidth in Mbit/s below which messages between nodes are
+	// compressed. The owner of 1,100 executors sends and receives 15 Mbit/s.
+	slowLinkMbps = 10
+	// slowListVMsInterval is the time between two reads of the list of VMs over such a
+	// link.
+	slowListVMsInterval = 2 * time.Second
+)
+
 type edgeCommand struct{}
 
 // Run runs the entry node until ctx is cancelled, then stops it gracefully. A
@@ -56,10 +65,15 @@
 	store.SendCall = relay.SendCall
 	kernelSettings := settings.Bounds.KernelSettings()
 	kernelSettings.VMOrdersPerS = settings.CloudAPI.DutyPerS
+	slowLink := settings.Limits.LinkMbps > 0 && settings.Limits.LinkMbps < slowLinkMbps
+	if slowLink {
+		kernelSettings.ListVMsInterval = slowListVMsInterval
+	}
 	process := edge.New(edge.Settings{
 		Node: settings.Node, DataCentre: settings.Zone, Front: settings.Listen.Front, Ready: settings.Listen.Ready,
 		Peer:   net.JoinHostPort(settings.IP, strconv.Itoa(settings.PortRange[0])),
 		Kernel: kernelSettings, Cores: settings.Limits.CPUShare * settings.Limits.Cores,
+		SlowLink: slowLink,
 	}, edge.Dependencies{
 		Store: store,
 		Executors: &platform.ExecutorClient{
--- a/common/jsonstream/stream.go
+++ b/common/jsonstream/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"compress/flate"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -28,6 +29,37 @@
 	silence  atomic.Int64
 }
 
+// Options are the options of a stream that is opened.
+type Options struct {
+	// Answer limits the time until the peer accepts the stream.
+	Answer time.Duration
+	// Silence is how long the peer may be silent before the stream ends.
+	Silence time.Duration
+	// Compress compresses the messages of both sides.
+	Compress bool
+}
+
+// encoding is the value of Content-Encoding for compressed streams.
+const encoding = "deflate"
+
+// newCompressor returns a function that compresses a message, so that the peer can
+// decode it at once, and passes it to w.
+func newCompressor(w io.Writer, flush func() error) (func([]byte) error, error) {
+	c, err := flate.NewWriter(w, flate.BestSpeed)
+	if err != nil {
+		return nil, fmt.Errorf("compress stream: %w", err)
+	}
+	return func(line []byte) error {
+		if _, err := c.Write(line); err != nil {
+			return err
+		}
+		if err := c.Flush(); err != nil {
+			return err
+		}
+		return flush()
+	}, nil
+}
+
 func newStream(body io.Reader, write func([]byte) error, abort func(), silence time.Duration) *Stream {
 	s := &Stream{write: write, abort: sync.OnceFunc(abort), lines: bufio.NewScanner(body)}
 	s.SetSilence(silence)
@@ -53,28 +85,37 @@
 		return nil, fmt.Errorf("accept stream: %w", err)
 	}
 	w.Header().Set("Content-Type", "application/jsonl")
-	w.WriteHeader(http.StatusOK)
-	if err := c.Flush(); err != nil {
-		return nil, fmt.Errorf("accept stream: %w", err)
-	}
+	body := io.Reader(r.Body)
 	write := func(line []byte) error {
 		if _, err := w.Write(line); err != nil {
 			return err
 		}
 		return c.Flush()
 	}
+	if r.Header.Get("Content-Encoding") == encoding {
+		w.Header().Set("Content-Encoding", encoding)
+		body = flate.NewReader(r.Body)
+		var err error
+		if write, err = newCompressor(w, c.Flush); err != nil {
+			return nil, err
+		}
+	}
+	w.WriteHeader(http.StatusOK)
+	if err := c.Flush(); err != nil {
+		return nil, fmt.Errorf("accept stream: %w", err)
+	}
 	abort := func() {
 		// Both fail only if the connection is closed already.
 		_ = c.SetReadDeadline(time.Unix(1, 0))
 		_ = c.SetWriteDeadline(time.Unix(1, 0))
 	}
-	return newStream(r.Body, write, abort, silence), nil
+	return newStream(body, write, abort, silence), nil
 }
 
 // Open sends a request to a handler that accepts streams. The stream ends with ctx,
-// and once the peer has been silent for the given time. Open returns a
-// *jsonhttp.StatusError if the peer refuses the request.
-func Open(ctx context.Context, client *http.Client, url string, silence time.Duration) (*Stream, error) {
+// and once the peer has been silent for too long. Open returns a *jsonhttp.StatusError
+// if the peer refuses the request.
+func Open(ctx context.Context, client *http.Client, url string, o Options) (*Stream, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	body, out := io.Pipe()
 	// The transport waits for the end of the request's body, also after ctx has ended.
@@ -85,7 +126,10 @@
 		return nil, err
 	}
 	r.Header.Set("Content-Type", "application/jsonl")
-	answer := time.AfterFunc(silence, cancel)
+	if o.Compress {
+		r.Header.Set("Content-Encoding", encoding)
+	}
+	answer := time.AfterFunc(o.Answer, cancel)
 	resp, err := client.Do(r)
 	answer.Stop()
 	if err != nil {
@@ -105,7 +149,15 @@
 		_, err := out.Write(line)
 		return err
 	}
-	return newStream(resp.Body, write, abort, silence), nil
+	received := io.Reader(resp.Body)
+	if resp.Header.Get("Content-Encoding") == encoding {
+		received = flate.NewReader(resp.Body)
+		if write, err = newCompressor(out, func() error { return nil }); err != nil {
+			abort()
+			return nil, err
+		}
+	}
+	return newStream(received, write, abort, o.Silence), nil
 }
 
 // Send sends a message.
--- a/common/jsonstream/stream_test.go
+++ b/common/jsonstream/stream_test.go
@@ -38,6 +38,11 @@
 // TestMessagesPassBothWaysAtOnce sends many messages in both directions at the same
 // time, and checks that both ends receive them in order.
 func TestMessagesPassBothWaysAtOnce(t *testing.T) {
+	t.Run("plain", func(t *testing.T) { passMessages(t, false) })
+	t.Run("compressed", func(t *testing.T) { passMessages(t, true) })
+}
+
+func passMessages(t *testing.T, compress bool) {
 	const count = 500
 	send := func(s *Stream) error {
 		for i := range count {
@@ -66,7 +71,7 @@
 		served <- receive(s)
 		served <- <-sent
 	})
-	s, err := Open(t.Context(), http.DefaultClient, url, testSilence)
+	s, err := Open(t.Context(), http.DefaultClient, url, Options{Answer: testSilence, Silence: testSilence, Compress: compress})
 	require.NoError(t, err)
 	defer s.Close()
 	sent := make(chan error, 1)
@@ -84,7 +89,7 @@
 		var m testMessage
 		ended <- s.Receive(&m)
 	})
-	s, err := Open(t.Context(), http.DefaultClient, url, testSilence)
+	s, err := Open(t.Context(), http.DefaultClient, url, Options{Answer: testSilence, Silence: testSilence})
 	require.NoError(t, err)
 	defer s.Close()
 	require.Error(t, <-ended)
@@ -92,7 +97,7 @@
 	hold := make(chan struct{})
 	url = serveStreams(t, testSilence, func(*Stream) { <-hold })
 	defer close(hold)
-	s, err = Open(t.Context(), http.DefaultClient, url, 50*time.Millisecond)
+	s, err = Open(t.Context(), http.DefaultClient, url, Options{Answer: 50 * time.Millisecond, Silence: 50 * time.Millisecond})
 	require.NoError(t, err)
 	require.Error(t, s.Receive(&testMessage{}))
 	require.Error(t, s.Send(testMessage{}))
@@ -105,7 +110,7 @@
 		Refuse(w, http.StatusConflict, "not here")
 	}))
 	defer refusing.Close()
-	_, err := Open(t.Context(), http.DefaultClient, refusing.URL, testSilence)
+	_, err := Open(t.Context(), http.DefaultClient, refusing.URL, Options{Answer: testSilence, Silence: testSilence})
 	var status *jsonhttp.StatusError
 	require.ErrorAs(t, err, &status)
 	require.Equal(t, http.StatusConflict, status.Code)
@@ -113,11 +118,11 @@
 	// A handler that knows no streams waits for the request's end.
 	unaware := httptest.NewServer(http.NotFoundHandler())
 	defer unaware.Close()
-	_, err = Open(t.Context(), http.DefaultClient, unaware.URL, 50*time.Millisecond)
+	_, err = Open(t.Context(), http.DefaultClient, unaware.URL, Options{Answer: 50 * time.Millisecond, Silence: 50 * time.Millisecond})
 	require.Error(t, err)
 
 	url := serveStreams(t, testSilence, func(s *Stream) { _ = s.Send(testMessage{"last"}) })
-	s, err := Open(t.Context(), http.DefaultClient, url, testSilence)
+	s, err := Open(t.Context(), http.DefaultClient, url, Options{Answer: testSilence, Silence: testSilence})
 	require.NoError(t, err)
 	var m testMessage
 	require.NoError(t, s.Receive(&m))
@@ -129,7 +134,7 @@
 	defer close(hold)
 	url = serveStreams(t, testSilence, func(*Stream) { <-hold })
 	ctx, cancel := context.WithCancel(t.Context())
-	s, err = Open(ctx, http.DefaultClient, url, testSilence)
+	s, err = Open(ctx, http.DefaultClient, url, Options{Answer: testSilence, Silence: testSilence})
 	require.NoError(t, err)
 	cancel()
 	require.Error(t, s.Receive(&m))
@@ -144,7 +149,7 @@
 		_ = s.Send(testMessage{"good"})
 		_ = s.Send(testMessage{strings.Repeat("x", jsonhttp.MaxMessageBytes)})
 	})
-	s, err := Open(t.Context(), http.DefaultClient, url, testSilence)
+	s, err := Open(t.Context(), http.DefaultClient, url, Options{Answer: testSilence, Silence: testSilence})
 	require.NoError(t, err)
 	defer s.Close()
 	var m testMessage
--- a/core/cell/kernel.go
+++ b/core/cell/kernel.go
@@ -35,6 +35,9 @@
 	// VMOrdersPerS is how many orders for VMs the platform accepts per second, zero
 	// for no limit.
 	VMOrdersPerS float64
+	// ListVMsInterval is the time between two reads of the list of VMs while orders are
+	// in progress, zero for the default.
+	ListVMsInterval time.Duration
 }
 
 // Timing of deadlines, writes and stops.
--- a/core/cell/wave.go
+++ b/core/cell/wave.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -143,7 +144,7 @@
 		}
 		k.advanceWave(w)
 	}
-	if (busy || k.vmsListedAt == 0) && k.now.Monotonic >= k.vmsRequestedAt+listVMsInterval {
+	if (busy || k.vmsListedAt == 0) && k.now.Monotonic >= k.vmsRequestedAt+cmp.Or(k.ListVMsInterval, listVMsInterval) {
 		k.vmsRequestedAt = k.now.Monotonic
 		k.emit(ListVMs{})
 	}
--- a/core/job/job_test.go
+++ b/core/job/job_test.go
@@ -15,10 +15,10 @@
 func TestHugeNumbersAreRefused(t *testing.T) {
 	one := job.Step{Count: 1, Size: fleet.Vector{CPU: 1000}}
 	for name, j := range map[string]job.Job{
-		"tasks of one step":       {Steps: []job.Step{{Count: job.MaxTasks + 1}}},
-		"tasks that overflow":     {Steps: []job.Step{{Count: math.MaxInt}, {Count: math.MaxInt}, {Count: 2}}},
-		"occurrences":             {Steps: []job.Step{one}, OccurrenceCount: job.MaxTasks + 1},
-		"occurrences and tasks":   {Steps: []job.Step{{Count: 1000}}, OccurrenceCount: 101},
+		"tasks of one step":         {Steps: []job.Step{{Count: job.MaxTasks + 1}}},
+		"tasks that overflow":       {Steps: []job.Step{{Count: math.MaxInt}, {Count: math.MaxInt}, {Count: 2}}},
+		"occurrences":               {Steps: []job.Step{one}, OccurrenceCount: job.MaxTasks + 1},
+		"occurrences and tasks":     {Steps: []job.Step{{Count: 1000}}, OccurrenceCount: 101},
 		"occurrences that overflow": {Steps: []job.Step{one}, OccurrenceCount: math.MaxInt},
 	} {
 		t.Run(name, func(t *testing.T) { require.Error(t, j.Check()) })
--- a/edge/link_message.go
+++ b/edge/link_message.go
@@ -28,6 +28,8 @@
 		Node       string  `json:"node"`
 		DataCentre string  `json:"data_centre"`
 		Cores      float64 `json:"cores"`
+		// SlowLink is set if the VM's network is so slow that messages are compressed.
+		SlowLink bool `json:"slow_link,omitempty"`
 		// Owner is the incarnation of the owner that the node looks for.
 		Owner string `json:"owner"`
 	}
@@ -36,7 +38,9 @@
 		// ClockMs is the owner's clock when it sent the message.
 		ClockMs int64 `json:"clock_ms"`
 		// EchoMs is the node's clock in the last message that the owner has read.
-		EchoMs  int64          `json:"echo_ms,omitempty"`
+		EchoMs int64 `json:"echo_ms,omitempty"`
+		// Serving is set once the owner takes callers' requests.
+		Serving bool           `json:"serving,omitempty"`
 		Answers []linkAnswer   `json:"answers,omitempty"`
 		Orders  []carriedOrder `json:"orders,omitempty"`
 	}
--- a/edge/node_link.go
+++ b/edge/node_link.go
@@ -27,6 +27,9 @@
 	// carrierSilence is how long a node that carries orders hears nothing from the
 	// owner before it links again. The deadlines that it has granted last longer.
 	carrierSilence = 1500 * time.Millisecond
+	// linkAnswerTimeout limits the time until the owner answers the opening of a link. A
+	// node of an older build does not answer.
+	linkAnswerTimeout = 600 * time.Millisecond
 	// linkRetryDelay is the longest random delay before a node links again.
 	linkRetryDelay = 100 * time.Millisecond
 	// maxCarriedOrders limits the orders that a node works on at a time.
@@ -48,6 +51,8 @@
 	stream    *jsonstream.Stream
 	wake      chan struct{}
 	ended     chan struct{}
+	// serving is closed once the owner takes callers' requests.
+	serving chan struct{}
 
 	mu      sync.Mutex
 	pending nodeMessage
@@ -56,6 +61,7 @@
 	// unanswered counts the requests in a row that got no answer.
 	unanswered int
 	leaving    bool
+	isServing  bool
 	// ownerClockMs is the owner's clock in the last message that was read.
 	ownerClockMs int64
 	freshness    carrier.Freshness
@@ -65,13 +71,15 @@
 
 // openLink links to the owner at an address.
 func openLink(ctx context.Context, client *http.Client, address string, hello nodeHello, executors core.ExecutorClient, log *eventlog.Log) (*nodeLink, error) {
-	stream, err := jsonstream.Open(ctx, client, "http://"+address+linkPath, linkSilence)
+	stream, err := jsonstream.Open(ctx, client, "http://"+address+linkPath, jsonstream.Options{
+		Answer: linkAnswerTimeout, Silence: linkSilence, Compress: hello.SlowLink,
+	})
 	if err != nil {
 		return nil, fmt.Errorf("link to owner at %s: %w", address, err)
 	}
 	return &nodeLink{
 		hello: hello, executors: executors, log: log, stream: stream,
-		wake: make(chan struct{}, 1), ended: make(chan struct{}), calls: map[int64]chan linkAnswer{},
+		wake: make(chan struct{}, 1), ended: make(chan struct{}), serving: make(chan struct{}), calls: map[int64]chan linkAnswer{},
 	}, nil
 }
 
@@ -110,6 +118,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.ownerClockMs = max(l.ownerClockMs, m.ClockMs)
+	if m.Serving && !l.isServing {
+		l.isServing = true
+		close(l.serving)
+	}
 	if m.EchoMs > 0 {
 		// The owner rounds its clock down, which a millisecond more covers.
 		l.freshness.Compare(now, time.Duration(m.EchoMs)*time.Millisecond, time.Duration(m.ClockMs+1)*time.Millisecond)
@@ -219,7 +231,9 @@
 	}
 }
 
-// call passes a caller's request to the owner and waits for the answer.
+// call passes a caller's request to the owner, once it serves, and waits for the
+// answer. An owner that still reads the stored records is not sent any requests: they
+// would only delay it.
 func (l *nodeLink) call(ctx context.Context, call ownerCall) (ownerAnswer, error) {
 	deadline, ok := ctx.Deadline()
 	timeout := ownerCallTimeout
@@ -228,9 +242,11 @@
 	}
 	answer := make(chan linkAnswer, 1)
 	select {
+	case <-l.serving:
 	case <-l.ended:
 		return ownerAnswer{}, errNotSent
-	default:
+	case <-ctx.Done():
+		return ownerAnswer{}, errNotSent
 	}
 	l.mu.Lock()
 	l.last++
@@ -308,9 +324,11 @@
 
 // serveLink links to an owner and serves the link until it ends.
 func (p *Process) serveLink(ctx context.Context, record ownerRecord) {
-	hello := nodeHello{Node: p.settings.Node, DataCentre: p.settings.DataCentre, Cores: p.settings.Cores, Owner: record.Incarnation}
+	hello := nodeHello{Node: p.settings.Node, DataCentre: p.settings.DataCentre, Cores: p.settings.Cores, SlowLink: p.settings.SlowLink, Owner: record.Incarnation}
 	l, err := openLink(ctx, p.peerClient, record.Address, hello, p.ownership.executors, p.log)
-	if err == nil {
+	if err != nil {
+		p.unlinkable.Store(&record)
+	} else {
 		p.link.Store(l)
 		err = l.run(ctx)
 		p.link.CompareAndSwap(l, nil)
--- a/edge/owner_call.go
+++ b/edge/owner_call.go
@@ -105,7 +105,12 @@
 		p.metrics.recordCall("link", outcomeLabel(err), time.Since(began))
 		return a, err
 	}
-	// If the owner's VM is gone, the dial fails and nothing is sent.
+	if u := p.unlinkable.Load(); u == nil || u.Incarnation != record.Incarnation {
+		// The link is being opened.
+		return ownerAnswer{}, errNotSent
+	}
+	// A node of an older build takes no links. If the owner's VM is gone, the dial fails
+	// and nothing is sent.
 	a, err := jsonhttp.Call[ownerAnswer](ctx, p.peerClient, http.MethodPost, "http://"+record.Address+ownerPath, call)
 	p.metrics.recordCall("owner", outcomeLabel(err), time.Since(began))
 	return a, err
--- a/edge/owner_link.go
+++ b/edge/owner_link.go
@@ -45,6 +45,8 @@
 	// nodeClockMs is the node's clock in the last message that was read.
 	nodeClockMs int64
 	overflowed  bool
+	// serving is set once the owner takes callers' requests.
+	serving bool
 }
 
 // linkJoined, linkLeft and linkRead tell the host of a link that opened or closed
@@ -91,6 +93,7 @@
 	s.notify = notify
 	for l := range s.links {
 		notify(linkJoined{l})
+		l.setServing()
 	}
 }
 
@@ -120,6 +123,7 @@
 	s.links[l] = true
 	if s.notify != nil {
 		s.notify(linkJoined{l})
+		l.setServing()
 	}
 	return s.ctx
 }
@@ -299,13 +303,21 @@
 	l.carrying = carrying
 }
 
+// setServing lets the node pass on callers' requests.
+func (l *ownerLink) setServing() {
+	l.mu.Lock()
+	l.serving = true
+	l.mu.Unlock()
+	l.signal()
+}
+
 // take returns the message to send, and false if the link has to be closed.
 func (l *ownerLink) take() (ownerMessage, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	m := l.pending
 	l.pending = ownerMessage{}
-	m.ClockMs, m.EchoMs = monotonicNow().Milliseconds(), l.nodeClockMs
+	m.ClockMs, m.EchoMs, m.Serving = monotonicNow().Milliseconds(), l.nodeClockMs, l.serving
 	return m, !l.overflowed
 }
 
--- a/edge/process.go
+++ b/edge/process.go
@@ -45,6 +45,9 @@
 	Kernel             cell.Settings
 	// Cores is the CPU time that the VM may use, in cores.
 	Cores float64
+	// SlowLink is set if the VM's network is so slow that messages between nodes are
+	// compressed.
+	SlowLink bool
 }
 
 // Dependencies holds what a process calls.
@@ -78,6 +81,8 @@
 	// node's link to another owner, nil without one.
 	links linkSet
 	link  atomic.Pointer[nodeLink]
+	// unlinkable is the last owner to which no link could be opened.
+	unlinkable atomic.Pointer[ownerRecord]
 
 	configuration atomic.Pointer[fleet.Configuration]
 	stopping      atomic.Bool
