--- a/edge/host_carriers.go
+++ b/edge/host_carriers.go
@@ -158,21 +158,27 @@
 	}
 }
 
-// checkCarriers gives the executors of slow or silent nodes to others, and gives up
-// orders that were not reported in time.
+// checkCarriers checks the nodes and the orders at most once per carrierCheckInterval.
 func (h *host) checkCarriers() {
 	now := monotonicNow()
-	c := &h.carriers
-	if now < c.checkedAt+carrierCheckInterval {
+	if now < h.carriers.checkedAt+carrierCheckInterval {
 		return
 	}
-	c.checkedAt = now
+	h.carriers.checkedAt = now
+	h.checkCarriersAt(now)
+}
+
+// checkCarriersAt gives the executors of slow or silent nodes to others, gives up orders
+// that were not reported in time, and hands the pools over if most nodes are late.
+func (h *host) checkCarriersAt(now time.Duration) {
+	c := &h.carriers
 	suspected, slow := c.assigner.Check(now)
-	if !slow {
+	switch {
+	case !slow:
 		c.slowSince = 0
-	} else if c.slowSince == 0 {
+	case c.slowSince == 0:
 		c.slowSince = now
-	} else if now >= c.slowSince+maxOwnerSlowness && now >= h.overload.began+minYieldInterval {
+	case now >= c.slowSince+maxOwnerSlowness && now >= h.overload.began+minYieldInterval:
 		h.onOverload()
 	}
 	for _, name := range suspected {
@@ -182,8 +188,7 @@
 	for _, l := range c.links {
 		l.setCarrying(c.assigner.Carried(l.node.Name) > 0)
 	}
-	overdue := c.takeUnreported(func(o *outstandingOrder) bool { return now > o.sent+o.timeout()+carryTimeout })
-	h.passUnknown(overdue)
+	h.passUnknown(c.takeUnreported(func(o *outstandingOrder) bool { return now > o.sent+o.timeout()+carryTimeout }))
 }
 
 // giveUpOrders takes the outcome of orders that a node carries as unknown.
--- /dev/null
+++ b/edge/host_test.go
@@ -0,0 +1,159 @@
+package edge
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+	"github.com/stretchr/testify/require"
+
+	"jacinthwind/common/eventlog"
+	"jacinthwind/core/carrier"
+	"jacinthwind/core/cell"
+	"jacinthwind/core/fleet"
+)
+
+// messageContext is an actor's context that only holds a message.
+type messageContext struct {
+	actor.Context
+	message any
+}
+
+func (c messageContext) Message() any { return c.message }
+
+// newTestHost returns a host whose messages are passed by hand, and a channel with the
+// reasons for which it gives up the pools.
+func newTestHost(t *testing.T) (*host, chan string) {
+	deposed := make(chan string, 10)
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	h := &host{
+		kernel: cell.New(cell.Settings{MaxRenewalGap: 6 * time.Second}, now(), 1, 0),
+		log:    eventlog.Nop(), executors: &countingExecutors{}, ctx: ctx, cancel: cancel,
+		calls:      map[cell.CallID]chan cell.Answer{},
+		onDeposed:  func(reason string) { deposed <- reason },
+		onOverload: func() { deposed <- "overload" },
+	}
+	h.system = actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger { return slog.New(slog.DiscardHandler) }))
+	h.pid = h.system.Root.Spawn(actor.PropsFromFunc(func(actor.Context) {}))
+	return h, deposed
+}
+
+func (h *host) receiveMessage(m any) { h.receive(messageContext{message: m}) }
+
+// TestHostHandsOverAfterInternalError checks that an owner whose decisions fail
+// unexpectedly answers those who wait, decides nothing more, and gives up the pools,
+// while the process goes on.
+func TestHostHandsOverAfterInternalError(t *testing.T) {
+	h, deposed := newTestHost(t)
+	poison := submission{newEvent: func(cell.CallID) cell.Event { panic("a broken invariant") }, answer: make(chan cell.Answer, 1)}
+	h.receiveMessage(poison)
+	require.Equal(t, verdictNotOwner, (<-poison.answer).Verdict)
+	require.Contains(t, <-deposed, "a broken invariant")
+
+	later := submission{newEvent: func(c cell.CallID) cell.Event {
+		t.Error("a broken kernel decides")
+		return cell.Tick{}
+	}, answer: make(chan cell.Answer, 1)}
+	h.receiveMessage(later)
+	require.Equal(t, verdictNotOwner, (<-later.answer).Verdict)
+	read := inspection{inspect: func(*cell.Kernel) { t.Error("a broken kernel is read") }, done: make(chan struct{})}
+	h.receiveMessage(read)
+	<-read.done
+	h.receiveMessage(scheduledTick{time.Now()})
+	require.Empty(t, deposed, "it gives up once")
+}
+
+// joinTestCarrier adds a node that carries all orders of a host without own capacity.
+func joinTestCarrier(h *host, name string) *ownerLink {
+	l := &ownerLink{node: carrier.Node{Name: name, DataCentre: "dc1", Cores: 0.8}, wake: make(chan struct{}, 1)}
+	h.receiveMessage(linkJoined{l})
+	return l
+}
+
+// TestOrdersOfLostCarrierAreUnknown checks that the orders of a node whose link ends are
+// given up at once, that the executors pass to another node, and that a late report of
+// the lost one has no effect.
+func TestOrdersOfLostCarrierAreUnknown(t *testing.T) {
+	h, _ := newTestHost(t)
+	h.receiveMessage(cell.ExecutorsListed{Executors: []fleet.Executor{{ID: "e1", DataCentre: "dc1", Address: "a"}}})
+	first := joinTestCarrier(h, "node-1")
+	h.sendOrder(carriedOrder{Renew: &fleet.Renewal{Executor: "e1"}})
+	require.Len(t, first.pending.Orders, 1)
+	require.Len(t, h.carriers.orders, 1)
+	second := joinTestCarrier(h, "node-2")
+	h.receiveMessage(linkLeft{first})
+	require.Empty(t, h.carriers.orders)
+	h.sendOrder(carriedOrder{Start: &fleet.StartOrder{Executor: "e1"}})
+	require.Len(t, second.pending.Orders, 1)
+	require.Greater(t, second.pending.Orders[0].ID, first.pending.Orders[0].ID)
+
+	h.receiveMessage(linkRead{link: first, echo: monotonicNow(), reports: []orderReport{unknownReport(second.pending.Orders[0].ID)}})
+	require.Len(t, h.carriers.orders, 1, "a node reports its own orders only")
+	h.receiveMessage(linkRead{link: second, echo: monotonicNow(), reports: []orderReport{unknownReport(second.pending.Orders[0].ID)}})
+	require.Empty(t, h.carriers.orders)
+}
+
+// TestUnreportedOrderIsGivenUp checks that an order which a node does not report is
+// unknown after its timeout.
+func TestUnreportedOrderIsGivenUp(t *testing.T) {
+	h, _ := newTestHost(t)
+	h.receiveMessage(cell.ExecutorsListed{Executors: []fleet.Executor{{ID: "e1", DataCentre: "dc1", Address: "a"}}})
+	joinTestCarrier(h, "node-1")
+	h.sendOrder(carriedOrder{Start: &fleet.StartOrder{Executor: "e1"}})
+	h.checkCarriers()
+	require.Len(t, h.carriers.orders, 1)
+	for _, o := range h.carriers.orders {
+		o.sent -= orderTimeout + carryTimeout + time.Millisecond
+	}
+	h.carriers.checkedAt = 0
+	h.checkCarriers()
+	require.Empty(t, h.carriers.orders)
+}
+
+// TestLeavingNodeStillReports checks that a node that stops gets no more orders, and
+// that the reports of those that it has begun count.
+func TestLeavingNodeStillReports(t *testing.T) {
+	h, _ := newTestHost(t)
+	h.receiveMessage(cell.ExecutorsListed{Executors: []fleet.Executor{{ID: "e1", DataCentre: "dc1", Address: "a"}}})
+	first := joinTestCarrier(h, "node-1")
+	h.sendOrder(carriedOrder{Start: &fleet.StartOrder{Executor: "e1"}})
+	second := joinTestCarrier(h, "node-2")
+	h.receiveMessage(linkRead{link: first, echo: monotonicNow(), leaving: true})
+	require.Len(t, h.carriers.orders, 1)
+	h.sendOrder(carriedOrder{Start: &fleet.StartOrder{Executor: "e1"}})
+	require.Len(t, second.pending.Orders, 1)
+	h.receiveMessage(linkRead{link: first, echo: monotonicNow(), leaving: true, reports: []orderReport{unknownReport(1)}})
+	require.Len(t, h.carriers.orders, 1)
+}
+
+// TestOwnerWithLateNodesHandsOver replays scale-2 of sellocant-jw-large: the owner's VM
+// turns slow, and what it sends and receives is late for most nodes.
+func TestOwnerWithLateNodesHandsOver(t *testing.T) {
+	h, deposed := newTestHost(t)
+	executors := map[string]string{}
+	for i := range 40 {
+		executors[string(rune('a'+i))] = "dc1"
+	}
+	h.carriers.assigner.SetExecutors(executors)
+	joinTestCarrier(h, "node-1")
+	joinTestCarrier(h, "node-2")
+	for id := range executors {
+		h.carriers.assigner.CarrierOf(monotonicNow(), id)
+	}
+	require.Equal(t, 20, h.carriers.assigner.Carried("node-1"))
+	// No message returns, and the ownership is old enough.
+	h.overload.began = monotonicNow() - minYieldInterval
+	began := monotonicNow()
+	for at := time.Duration(0); at <= 900*time.Millisecond; at += carrierCheckInterval {
+		h.checkCarriersAt(began + at)
+	}
+	require.Empty(t, deposed, "a short delay comes with a burst")
+	for at := 950 * time.Millisecond; at <= 1100*time.Millisecond; at += carrierCheckInterval {
+		h.checkCarriersAt(began + at)
+	}
+	require.NotEmpty(t, deposed)
+	require.Equal(t, "overload", <-deposed)
+}
