--- a/core/cell/renewal.go
+++ b/core/cell/renewal.go
@@ -29,29 +29,19 @@
 // sendRenewals sends the renewals that are due, at most one at a time per executor.
 func (k *Kernel) sendRenewals() {
 	for _, x := range k.sortedExecutors() {
-		if x.renewing || k.isDownByOrder(x) {
+		if x.renewing {
 			continue
 		}
-		var interval time.Duration
-		wait := int64(renewalWaitMs)
-		switch {
-		case x.misses > 0:
-			interval, wait = missedRenewalInterval, 0
-		case !x.fenced:
-			wait = 0
-		case x.seenEnd > x.ackedEnd:
-			interval, wait = unackedRenewalInterval, 0
-		case len(x.runs) == 0:
-			// No run can end, and the deadline only matters for starts.
-			interval, wait = idleRenewalInterval, 0
-		case k.hasUnresolvedRuns(x):
-			interval, wait = minRenewalInterval, 0
-		default:
-			interval = minRenewalInterval
-		}
+		interval, wait := renewalInterval(x)
 		if x.renewalEndedAt != 0 && k.now.Monotonic < x.renewalEndedAt+interval {
 			continue
 		}
+		if k.isDownByOrder(x) {
+			continue
+		}
+		if wait > 0 && k.hasUnresolvedRuns(x) {
+			wait = 0
+		}
 		x.renewing = true
 		order := fleet.Renewal{
 			Address: x.Address, Executor: x.ID, Token: k.Token,
@@ -71,6 +61,23 @@
 	}
 }
 
+// renewalInterval returns the time between two renewals of an executor, and how long it
+// may wait for a run to end before it answers.
+func renewalInterval(x *executor) (interval time.Duration, waitMs int64) {
+	switch {
+	case x.misses > 0:
+		return missedRenewalInterval, 0
+	case !x.fenced:
+		return 0, 0
+	case x.seenEnd > x.ackedEnd:
+		return unackedRenewalInterval, 0
+	case len(x.runs) == 0:
+		// No run can end, and the deadline only matters for starts.
+		return idleRenewalInterval, 0
+	}
+	return minRenewalInterval, renewalWaitMs
+}
+
 // hasUnresolvedRuns reports whether a renewal would resolve the state of a run.
 func (k *Kernel) hasUnresolvedRuns(x *executor) bool {
 	for _, r := range x.runs {
--- a/core/cell/schedule.go
+++ b/core/cell/schedule.go
@@ -48,8 +48,9 @@
 		if len(free) == 0 {
 			continue
 		}
+		var full fullPool
 		for _, s := range candidates {
-			k.startStep(s, free)
+			k.startStep(s, free, &full)
 		}
 	}
 }
@@ -124,8 +125,21 @@
 	return free
 }
 
-// startStep starts as many waiting tasks of a step as fit.
-func (k *Kernel) startStep(s *stepRun, free []*executor) {
+// fullPool remembers the smallest sizes of tasks for which no executor of a pool has
+// room at present, so that the steps behind them need not be tried.
+type fullPool struct{ sizes []fleet.Vector }
+
+// rejects reports whether a task of the given size cannot fit either.
+func (f *fullPool) rejects(size fleet.Vector) bool {
+	return slices.ContainsFunc(f.sizes, func(tried fleet.Vector) bool { return tried.FitsIn(size) })
+}
+
+// startStep starts as many waiting tasks of a step as fit. Each start only makes the
+// room smaller, so what did not fit for an earlier step does not fit for a later one.
+func (k *Kernel) startStep(s *stepRun, free []*executor, full *fullPool) {
+	if full.rejects(s.ReservedSize()) {
+		return
+	}
 	if s.job.queue != nil && s.job.queue.NeedsTicket && !k.ensureTickets(s, free) {
 		return
 	}
@@ -146,6 +160,9 @@
 			// Tasks that have not failed are alike, so none of the others fits either. A
 			// failed task ranks executors differently and may wait for its rack alone.
 			if len(t.failedRuns) == 0 {
+				if s.isUnconstrained() {
+					full.sizes = append(full.sizes, s.ReservedSize())
+				}
 				return
 			}
 			continue
@@ -154,6 +171,12 @@
 	}
 }
 
+// isUnconstrained reports whether only the room of an executor decides where a task of
+// the step can run.
+func (s *stepRun) isUnconstrained() bool {
+	return s.Label == "" && s.Rack == "" && s.PerExecutor == 0 && s.tickets == nil
+}
+
 // withinTeamLimit reports whether n more tasks stay within the team's limit.
 func (k *Kernel) withinTeamLimit(s *stepRun, n int) bool {
 	team := k.config.Team(s.job.Team)
--- a/core/cell/wave.go
+++ b/core/cell/wave.go
@@ -128,7 +128,7 @@
 
 // advanceWaves advances all waves, and requests the list of VMs while it is needed.
 func (k *Kernel) advanceWaves() {
-	busy := len(k.vmOrders) > 0 || k.needsVMList()
+	busy := len(k.vmOrders) > 0
 	advance := k.now.Monotonic >= k.wavesAdvancedAt+waveInterval
 	if advance {
 		k.wavesAdvancedAt = k.now.Monotonic
@@ -144,7 +144,8 @@
 		}
 		k.advanceWave(w)
 	}
-	if (busy || k.vmsListedAt == 0) && k.now.Monotonic >= k.vmsRequestedAt+cmp.Or(k.ListVMsInterval, listVMsInterval) {
+	due := k.now.Monotonic >= k.vmsRequestedAt+cmp.Or(k.ListVMsInterval, listVMsInterval)
+	if due && (busy || k.vmsListedAt == 0 || k.needsVMList()) {
 		k.vmsRequestedAt = k.now.Monotonic
 		k.emit(ListVMs{})
 	}
