--- a/edge/guard.go
+++ b/edge/guard.go
@@ -1,8 +1,10 @@
 package edge
 
 import (
+	"context"
 	"fmt"
 	"runtime/debug"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -21,3 +23,20 @@
 	}()
 	return f()
 }
+
+// restartDelay is the pause before a loop that ended unexpectedly begins again.
+const restartDelay = 200 * time.Millisecond
+
+// keepRunning runs a loop until ctx ends. If it fails unexpectedly, it begins again.
+func keepRunning(ctx context.Context, log *eventlog.Log, loop func(context.Context)) {
+	for {
+		err := guard(log, "run a loop of the process", func() error {
+			loop(ctx)
+			return nil
+		})
+		if err == nil || ctx.Err() != nil {
+			return
+		}
+		sleep(ctx, restartDelay)
+	}
+}
--- a/edge/host.go
+++ b/edge/host.go
@@ -104,14 +104,26 @@
 	h.writes = make(chan cell.Write, 1)
 	h.system = system
 	h.pid = system.Root.Spawn(actor.PropsFromFunc(h.receive))
-	h.goroutines.Go(h.runWriter)
-	h.goroutines.Go(h.watchExecutors)
+	h.goroutines.Go(func() { h.runOrHandOver("write to the store", h.runWriter) })
+	h.goroutines.Go(func() { h.runOrHandOver("watch the executors", h.watchExecutors) })
 	h.goroutines.Go(h.runIdleTicks)
 	if h.links != nil {
 		h.links.attach(h.send)
 	}
 }
 
+// runOrHandOver runs a part of the owner. If it fails unexpectedly, the pools are handed
+// over, since the others cannot go on without it.
+func (h *host) runOrHandOver(what string, part func()) {
+	err := guard(h.log, what, func() error {
+		part()
+		return nil
+	})
+	if err != nil {
+		go h.onDeposed(err.Error())
+	}
+}
+
 // stop stops the kernel and waits for all its calls to end.
 func (h *host) stop() {
 	h.cancel()
@@ -331,7 +343,7 @@
 	h.goroutines.Go(func() {
 		ctx, cancel := context.WithTimeout(h.ctx, timeout)
 		defer cancel()
-		h.send(f(ctx))
+		h.runOrHandOver("call a service", func() { h.send(f(ctx)) })
 	})
 }
 
--- a/edge/host_test.go
+++ b/edge/host_test.go
@@ -157,3 +157,25 @@
 	require.NotEmpty(t, deposed)
 	require.Equal(t, "overload", <-deposed)
 }
+
+// TestLoopGoesOnAfterInternalError checks that a part of a process that fails on an
+// entry that it cannot handle begins again, and that the process goes on.
+func TestLoopGoesOnAfterInternalError(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	runs := 0
+	keepRunning(ctx, eventlog.Nop(), func(context.Context) {
+		if runs++; runs < 3 {
+			panic("an entry that cannot be handled")
+		}
+		cancel()
+	})
+	require.Equal(t, 3, runs)
+}
+
+// TestOwnerHandsOverWithoutItsWriter checks that an owner whose writer fails
+// unexpectedly does not go on without one.
+func TestOwnerHandsOverWithoutItsWriter(t *testing.T) {
+	h, deposed := newTestHost(t)
+	h.runOrHandOver("write to the store", func() { panic("a record that cannot be encoded") })
+	require.Contains(t, <-deposed, "a record that cannot be encoded")
+}
--- a/edge/process.go
+++ b/edge/process.go
@@ -126,7 +126,7 @@
 	work, stopWork := context.WithCancel(context.Background())
 	for _, loop := range []func(context.Context){p.watchOperatorState, p.watchLiveNodes, p.keepRegistered, p.confirmOutages, p.keepLink, p.ownership.run} {
 		c, cancel := context.WithCancel(work)
-		group.Add(func() error { loop(c); return nil }, func(error) { cancel() })
+		group.Add(func() error { keepRunning(c, p.log, loop); return nil }, func(error) { cancel() })
 	}
 	servers, err := p.listen()
 	if err != nil {
