Let carriers answer the owner often, with or without orders

Ruled out: a longer time until a node is late, as a frozen carrier's runs must be renewed in time. Result: TestCarrierAnswersOftenWithoutOrders failed before.

--- a/edge/link_message.go
+++ b/edge/link_message.go
@@ -40,9 +40,11 @@
 		// EchoMs is the node's clock in the last message that the owner has read.
 		EchoMs int64 `json:"echo_ms,omitempty"`
 		// Serving is set once the owner takes callers' requests.
-		Serving bool           `json:"serving,omitempty"`
-		Answers []linkAnswer   `json:"answers,omitempty"`
-		Orders  []carriedOrder `json:"orders,omitempty"`
+		Serving bool `json:"serving,omitempty"`
+		// Carrying is set while the node is assigned executors, so that it answers often.
+		Carrying bool           `json:"carrying,omitempty"`
+		Answers  []linkAnswer   `json:"answers,omitempty"`
+		Orders   []carriedOrder `json:"orders,omitempty"`
 	}
 	// linkCall is a caller's request that a node passes on to the owner.
 	linkCall struct {
--- a/edge/link_test.go
+++ b/edge/link_test.go
@@ -303,3 +303,22 @@
 	var refused *jsonstream.DecodeError
 	require.False(t, errors.As(err, &refused))
 }
+
+// TestCarrierAnswersOftenWithoutOrders replays the start of a large deployment: a node
+// that carries idle executors gets an order every few seconds. Its answers must not look
+// late, or the owner takes itself for slow.
+func TestCarrierAnswersOftenWithoutOrders(t *testing.T) {
+	p := newLinkPair(t, echoCall)
+	p.attach()
+	l := p.awaitLink()
+	l.setCarrying(true)
+	l.signal()
+	awaitMessage(p, func(m linkRead) bool { return m.link == l })
+	for range 5 {
+		awaitMessage(p, func(m linkRead) bool { return m.link == l })
+		last := monotonicNow()
+		m := awaitMessage(p, func(m linkRead) bool { return m.link == l })
+		require.Less(t, monotonicNow()-last, linkHeartbeat/2)
+		require.Less(t, monotonicNow()-m.echo, 700*time.Millisecond)
+	}
+}
--- a/edge/node_link.go
+++ b/edge/node_link.go
@@ -62,6 +62,8 @@
 	unanswered int
 	leaving    bool
 	isServing  bool
+	// carrying is set while the owner assigns executors to this node.
+	carrying bool
 	// ownerClockMs is the owner's clock in the last message that was read.
 	ownerClockMs int64
 	freshness    carrier.Freshness
@@ -118,6 +120,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.ownerClockMs = max(l.ownerClockMs, m.ClockMs)
+	if m.Carrying && !l.carrying {
+		// The next heartbeat may be too far away.
+		defer l.signal()
+	}
+	l.carrying = m.Carrying
 	if m.Serving && !l.isServing {
 		l.isServing = true
 		close(l.serving)
@@ -194,7 +201,7 @@
 	m := l.pending
 	l.pending = nodeMessage{}
 	m.ClockMs, m.EchoMs, m.Leaving = monotonicNow().Milliseconds(), l.ownerClockMs, l.leaving
-	if l.working > 0 {
+	if l.carrying {
 		l.stream.SetSilence(carrierSilence)
 		return m, carrierHeartbeat
 	}
--- a/edge/owner_link.go
+++ b/edge/owner_link.go
@@ -317,7 +317,7 @@
 	defer l.mu.Unlock()
 	m := l.pending
 	l.pending = ownerMessage{}
-	m.ClockMs, m.EchoMs, m.Serving = monotonicNow().Milliseconds(), l.nodeClockMs, l.serving
+	m.ClockMs, m.EchoMs, m.Serving, m.Carrying = monotonicNow().Milliseconds(), l.nodeClockMs, l.serving, l.carrying
 	return m, !l.overflowed
 }
 
