--- a/edge/host_carriers.go
+++ b/edge/host_carriers.go
@@ -93,6 +93,16 @@
 	return taken
 }
 
+// hasOrders reports whether a node has not reported all its orders.
+func (c *carriers) hasOrders(l *ownerLink) bool {
+	for _, o := range c.orders {
+		if o.link == l {
+			return true
+		}
+	}
+	return false
+}
+
 // sendOrder sends an order to its executor, through a node or from here.
 func (h *host) sendOrder(o carriedOrder) {
 	now := monotonicNow()
@@ -103,12 +113,13 @@
 		}
 	}
 	h.goroutines.Go(func() {
+		r := unknownReport(o.ID)
 		_ = guard(h.log, "send an order", func() error {
-			r := o.send(h.ctx, h.executors)
-			h.metrics.recordCall("executor", string(r.Answer.Outcome), monotonicNow()-now)
-			h.send(o.event(now, r))
+			r = o.send(h.ctx, h.executors)
 			return nil
 		})
+		h.metrics.recordCall("executor", string(r.Answer.Outcome), monotonicNow()-now)
+		h.send(o.event(now, r))
 	})
 }
 
@@ -134,7 +145,11 @@
 		return
 	}
 	delete(h.carriers.links, l.node.Name)
+	carried := h.carriers.assigner.Carried(l.node.Name) > 0
 	h.carriers.assigner.Leave(monotonicNow(), l.node.Name)
+	if !carried && !h.carriers.hasOrders(l) {
+		return
+	}
 	h.giveUpOrders("the link to the node ended", l.node.Name, func(o *outstandingOrder) bool { return o.link == l })
 }
 
