End writes to an aborted stream at once

Change: the end of a stream closes the pipe itself. Ruled out: waiting in the test; the caller of Send has to learn of the end.

--- a/common/jsonstream/stream.go
+++ b/common/jsonstream/stream.go
@@ -138,7 +138,8 @@
 	}
 	abort := func() {
 		cancel()
-		// The error of an aborted stream carries no information.
+		// The errors of an aborted stream carry no information.
+		_ = out.Close()
 		_ = resp.Body.Close()
 	}
 	if resp.StatusCode != http.StatusOK {
