--- a/edge/owner.go
+++ b/edge/owner.go
@@ -237,14 +237,13 @@
 	}
 	k := cell.New(o.settings, now(), claim.token, int(claim.sequence.Generation-1)*runsPerGeneration)
 	k.Step(now(), cell.LeaseExtended{Until: claim.until})
-	var w *writer
 	k.Step(now(), cell.Configured{Configuration: o.operatorState().Configuration})
 	loading, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	// The lease is renewed while the records are loaded.
 	renewedUntil := make(chan time.Duration, 1)
 	go func() { renewedUntil <- o.renewWhileLoading(loading, claim) }()
-	w, err = newWriter(loading, o.store, o.codec, o.log, claim.token, claim.sequence.Generation)
+	w, err := newWriter(loading, o.store, o.codec, o.log, claim.token, claim.sequence.Generation)
 	if err == nil {
 		err = loadKernel(loading, o.store, k)
 	}
