Log and count lost executors with what may have ended them

The log could not tell whether an executor crashed, was ended by an order, left as announced or was out of reach: 607 gave a reason per run, no line stood for the executor, and 621 was missing for 237 of 491 losses that a start order noticed first. Change: event 626 names the lost executor, its VM and address, whether it drained or an order was in progress, and the run that started last with its age; 607 gives the age of the run; 621 is also written when a start order gets no answer. Counters executors_lost, runs_lost and jobs_failed. No decision changes. Ruled out: a counter per event, since most of them are counted as calls.

--- a/core/cell/executors.go
+++ b/core/cell/executors.go
@@ -59,6 +59,7 @@
 // yet.
 func (k *Kernel) resetIncarnation(x *executor, startedMs int64) {
 	k.log(event.ExecutorReborn, "executor", x.ID, "born", startedMs, "runs", len(x.runs))
+	k.logExecutorLoss(x, "it has a new incarnation")
 	for _, r := range sortedRuns(x) {
 		if r.state != runStarting {
 			k.abandonRun(r, "reborn")
@@ -163,6 +164,7 @@
 		if gone {
 			reason = "the VM of the executor is not up"
 		}
+		k.logExecutorLoss(x, reason)
 		for _, r := range sortedRuns(x) {
 			k.abandonRun(r, reason)
 		}
@@ -197,9 +199,37 @@
 	}
 }
 
+// logExecutorLoss logs the loss of an executor with what may have caused it: an order for
+// its VM, its announced end, or the run that had started last.
+func (k *Kernel) logExecutorLoss(x *executor, reason string) {
+	if len(x.runs) == 0 {
+		return
+	}
+	var youngest *run
+	for _, r := range sortedRuns(x) {
+		if youngest == nil || r.startedAt() > youngest.startedAt() {
+			youngest = r
+		}
+	}
+	_, ordered := k.vmOrders[x.vmName]
+	k.log(event.ExecutorLost, "executor", x.ID, "vm", x.vmName, "address", x.Address, "reason", reason,
+		"draining", x.Draining, "ordered", ordered, "known_ms", (k.now.Monotonic - x.knownSince).Milliseconds(),
+		"silent_ms", (k.now.Monotonic - x.lastAnswerAt).Milliseconds(), "runs", len(x.runs),
+		"youngest", youngest.name, "youngest_ms", (k.now.Monotonic - youngest.startedAt()).Milliseconds())
+}
+
+// startedAt returns when the start order was sent, or when the run was adopted.
+func (r *run) startedAt() time.Duration {
+	if r.sentAt != 0 {
+		return r.sentAt
+	}
+	return r.beganAt
+}
+
 // abandonRun gives up a run that can no longer be active and requeues its task.
 func (k *Kernel) abandonRun(r *run, reason string) {
-	k.log(event.RunLost, "task", r.name, "run", r.number, "executor", r.executor.ID, "reason", reason)
+	k.log(event.RunLost, "task", r.name, "run", r.number, "executor", r.executor.ID, "reason", reason,
+		"age_ms", (k.now.Monotonic - r.startedAt()).Milliseconds())
 	k.releaseRun(r)
 	if t := r.task(); t.currentRun == r {
 		t.currentRun = nil
--- a/core/cell/runs.go
+++ b/core/cell/runs.go
@@ -71,6 +71,9 @@
 		if r.state == runStarting {
 			r.state = runUnknown
 		}
+		if x.misses == 0 {
+			k.log(event.ExecutorSilent, "executor", x.ID, "outcome", e.Answer.Outcome, "runs", len(x.runs))
+		}
 		x.misses = max(x.misses, missThreshold)
 	case fleet.OrderFenced:
 		k.depose("executor " + x.ID + " has seen a higher token")
--- a/core/event/platform.go
+++ b/core/event/platform.go
@@ -21,6 +21,7 @@
 	ExecutorAvoided       Number = 623
 	ExecutorReborn        Number = 624
 	ExecutorRemoved       Number = 625
+	ExecutorLost          Number = 626
 	MoveOrdered           Number = 631
 	UpkeepOrdered         Number = 632
 	VMOrderAnswered       Number = 633
@@ -88,6 +89,7 @@
 		ExecutorAvoided:       "an executor that failed runs gets no work for a while",
 		ExecutorReborn:        "an executor has a new incarnation",
 		ExecutorRemoved:       "an executor that is no longer listed was forgotten",
+		ExecutorLost:          "an executor ended or stayed out of reach with runs in progress",
 		MoveOrdered:           "a VM was ordered to move to another pool",
 		UpkeepOrdered:         "the maintenance of a VM was ordered",
 		VMOrderAnswered:       "an order for a VM was answered or got no answer",
@@ -142,6 +144,7 @@
 // violations: an operator should look at each of them.
 var warnings = map[Number]bool{
 	RunLost:              true,
+	ExecutorLost:         true,
 	RunNotWanted:         true,
 	RunStraggles:         true,
 	ExecutorSilent:       true,
--- a/edge/call_metrics.go
+++ b/edge/call_metrics.go
@@ -7,6 +7,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"jacinthwind/common/metrics"
+	"jacinthwind/core/event"
 )
 
 // latencyBuckets range from calls within a data centre to the longest wait of a
@@ -30,6 +31,23 @@
 	m.Tagged(map[string]string{"hop": hop}).Histogram("latency", latencyBuckets).RecordDuration(took)
 }
 
+// eventCounters names the counters of the events whose number matters more than any
+// single one.
+var eventCounters = map[event.Number]string{
+	event.ExecutorLost: "executors_lost",
+	event.RunLost:      "runs_lost",
+	event.JobFailed:    "jobs_failed",
+}
+
+// countEvent counts an event that has a counter.
+func (m *CallMetrics) countEvent(n event.Number) {
+	name, ok := eventCounters[n]
+	if !ok || m == nil || m.Metrics == nil {
+		return
+	}
+	m.Counter(name).Inc(1)
+}
+
 // handler returns the HTTP handler that serves the metrics as text.
 func (m *CallMetrics) handler() http.Handler {
 	if m == nil || m.Metrics == nil {
--- a/edge/host.go
+++ b/edge/host.go
@@ -293,6 +293,7 @@
 		fields = append(fields, zap.Any(name, e.Fields[i+1]))
 	}
 	h.log.Event(e.Event, fields...)
+	h.metrics.countEvent(e.Event)
 }
 
 // startCall makes a call outside of the actor and sends its result to the kernel.
