--- /dev/null
+++ b/core/cell/crash_test.go
@@ -0,0 +1,136 @@
+package cell_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"jacinthwind/core/fleet"
+	"jacinthwind/core/job"
+)
+
+// The limits that the users' rule BUDGET sets on a task that crashes its executors: it
+// may be started twice more after three executors have crashed under it.
+const (
+	maxStartsOfCrashingTask = 5
+	minCrashesToGiveUp      = 2
+)
+
+// crashOnStart makes the first task of each of the given jobs crash its executor.
+func (w *world) crashOnStart(after time.Duration, jobs ...string) {
+	w.crashAfter = func(task string) time.Duration {
+		for _, id := range jobs {
+			if task == id+".0.0.0" {
+				return after
+			}
+		}
+		return 0
+	}
+}
+
+// submitSteadily submits a job every 50 ms, the given ones among them, and returns the
+// ids of all others.
+func (w *world) submitSteadily(n int, among ...*job.Job) []string {
+	var ids []string
+	for i := range n {
+		if i%10 == 2 && i/10 < len(among) {
+			w.submitJob(among[i/10])
+		}
+		j := simpleJob(1000+i, 4, 500)
+		w.submitJob(j)
+		ids = append(ids, j.ID)
+		w.advance(50 * time.Millisecond)
+	}
+	return ids
+}
+
+// requireGivenUp requires that a job whose first task crashes executors was given up
+// within its budget.
+func (w *world) requireGivenUp(t *testing.T, id string) {
+	require.Equal(t, job.Failed, w.jobState(id), "job %s", id)
+	require.GreaterOrEqual(t, w.crashedUnder[id+".0.0.0"], minCrashesToGiveUp, "the job was given up too early")
+	require.LessOrEqual(t, w.starts[id+".0.0.0"], maxStartsOfCrashingTask)
+}
+
+// TestTaskThatCrashesExecutorsIsStartedWithoutEnd guards against the repeated start of a
+// task that crashes each executor that starts it (sellocant-jw, deadly, seeds 1 and 3).
+func TestTaskThatCrashesExecutorsIsStartedWithoutEnd(t *testing.T) {
+	for _, after := range []time.Duration{time.Millisecond, 50 * time.Millisecond, 300 * time.Millisecond} {
+		t.Run(after.String(), func(t *testing.T) {
+			w := newWorld(t, 8)
+			w.advance(time.Second)
+			deadly := simpleJob(1, 3, 500)
+			w.crashOnStart(after, deadly.ID)
+			ids := w.submitSteadily(100, deadly)
+			w.advance(10 * time.Second)
+			w.requireGivenUp(t, deadly.ID)
+			for _, id := range ids {
+				require.Contains(t, []job.State{job.Succeeded, ""}, w.jobState(id), "job %s ran beside the cause", id)
+			}
+		})
+	}
+}
+
+// TestCrashesAreForgottenWithTheirOwner guards against an owner that counts the crashes
+// under a task from the beginning.
+func TestCrashesAreForgottenWithTheirOwner(t *testing.T) {
+	w := newWorld(t, 8)
+	w.advance(time.Second)
+	deadly := simpleJob(1, 3, 500)
+	w.crashOnStart(20*time.Millisecond, deadly.ID)
+	w.submitJob(deadly)
+	for crashes := 1; crashes <= 2; crashes++ {
+		for w.crashedUnder[deadly.ID+".0.0.0"] < crashes {
+			w.advance(10 * time.Millisecond)
+		}
+		// The owner learns of the crash before it is lost.
+		w.advance(800 * time.Millisecond)
+		w.replaceOwner()
+	}
+	w.advance(15 * time.Second)
+	w.requireGivenUp(t, deadly.ID)
+	require.LessOrEqual(t, w.crashedUnder[deadly.ID+".0.0.0"], 4)
+}
+
+// TestTaskOnExecutorsLostForOtherReasonsIsGivenUp guards against blaming a task for the
+// loss of executors that failed with their rack.
+func TestTaskOnExecutorsLostForOtherReasonsIsGivenUp(t *testing.T) {
+	w := newWorld(t, 8)
+	w.advance(time.Second)
+	ids := w.submitSteadily(10)
+	for range 4 {
+		for _, x := range w.executors {
+			if !x.down && len(x.runs) > 0 {
+				w.crashAndReplace(x)
+			}
+		}
+		w.advance(700 * time.Millisecond)
+	}
+	w.advance(20 * time.Second)
+	for _, id := range ids {
+		require.Equal(t, job.Succeeded, w.jobState(id), "job %s", id)
+	}
+}
+
+// TestStartOverShrunkCapacity guards against a start on an executor whose capacity has
+// shrunk below what its runs use.
+func TestStartOverShrunkCapacity(t *testing.T) {
+	w := newWorld(t, 2)
+	w.advance(time.Second)
+	ids := w.submitSteadily(10)
+	for _, x := range w.executors {
+		x.Capacity = fleet.Vector{CPU: 1000, Mem: 300}
+	}
+	w.listExecutors()
+	// The fake executors check each start against their present capacity.
+	ids = append(ids, w.submitSteadily(20)...)
+	for _, x := range w.executors {
+		x.Capacity = fleet.Vector{CPU: 8000, Mem: 8000}
+	}
+	w.listExecutors()
+	w.advance(20 * time.Second)
+	for _, id := range ids {
+		require.Contains(t, []job.State{job.Succeeded, ""}, w.jobState(id), "job %s", id)
+	}
+}
--- a/core/cell/fake_executor_test.go
+++ b/core/cell/fake_executor_test.go
@@ -109,6 +109,9 @@
 	took, end := w.taskTime(o.Task, o.Run)
 	x.runs[o.Task] = &fakeRun{task: o.Task, run: o.Run, size: step.ReservedSize(), startAt: w.now, endAt: w.now + took, end: end, service: step.Service}
 	w.starts[o.Task]++
+	if d := w.crashAfter(o.Task); d > 0 {
+		w.runAfter(d, func() { w.crashUnder(x, o.Task) })
+	}
 	return answer(fleet.OrderDone)
 }
 
--- a/core/cell/world_test.go
+++ b/core/cell/world_test.go
@@ -83,6 +83,10 @@
 	moveOutcome func(vm string) fleet.VMOrderOutcome
 	// lastOrder holds the last order for each VM.
 	lastOrder map[string]vmOrdered
+	// crashAfter returns how long after its start a task crashes its executor, zero if it
+	// does not. crashedUnder counts the executors that it crashed, by task.
+	crashAfter   func(task string) time.Duration
+	crashedUnder map[string]int
 	// decisionTime is the real time that the kernels have taken.
 	decisionTime time.Duration
 }
@@ -166,6 +170,8 @@
 		stored: map[string]job.Progress{}, accepted: map[string]bool{}, verdicts: map[cell.CallID]cell.Answer{},
 		acknowledged: map[string]bool{}, starts: map[string]int{},
 		throttlePercents: map[string]int{}, maintainedVMs: map[string]bool{}, moveOrdered: map[string]bool{}, maintenanceOrdered: map[string]bool{}, lastOrder: map[string]vmOrdered{},
+		crashedUnder:  map[string]int{},
+		crashAfter:    func(string) time.Duration { return 0 },
 		taskTime:      func(string, int) (time.Duration, fleet.RunEnd) { return 500 * time.Millisecond, fleet.EndDone },
 		orderDelivery: deliverPromptly,
 		answerDelay:   noDelay,
@@ -241,6 +247,39 @@
 	w.setVM(x.ID, fleet.VMDown)
 }
 
+// rebootDuration is how long a VM whose executor crashed takes to start another.
+const rebootDuration = 2 * time.Second
+
+// crashUnder crashes the executor that started a task, unless the run has ended. Another
+// executor starts on the VM, under a new id and the same address.
+func (w *world) crashUnder(x *fakeExecutor, task string) {
+	if x.runs[task] == nil {
+		return
+	}
+	w.crashedUnder[task]++
+	w.crashAndReplace(x)
+}
+
+// crashAndReplace crashes an executor; another one starts on the VM.
+func (w *world) crashAndReplace(x *fakeExecutor) {
+	w.crash(x)
+	w.runAfter(rebootDuration, func() {
+		next := *x
+		next.ID = fmt.Sprintf("%s-%d", x.Address, w.now.Milliseconds())
+		next.down, next.StartedMs, next.bootedAt = false, w.now.Milliseconds(), w.now
+		next.runs, next.highestEndedRun = map[string]*fakeRun{}, map[string]int{}
+		delete(w.executors, x.ID)
+		w.executors[next.ID] = &next
+		w.setVM(x.ID, fleet.VMUp)
+		for i := range w.vms {
+			if w.vms[i].Executor == x.ID {
+				w.vms[i].Executor = next.ID
+			}
+		}
+		w.listExecutors()
+	})
+}
+
 // restart restarts a crashed executor under the same id.
 func (w *world) restart(x *fakeExecutor) {
 	x.down = false
