Give up tasks that crash the executors that start them

Cause: the loss of an executor was charged to nothing. A task whose executor crashed waited again as if it had not been started, and started at once beside twenty others; only ends that an executor lists count as attempts, and one that has crashed lists none. The class of fault: the cause of a failure is retried without limit, since the failure is charged to the place where it showed. Change: core/suspicion. When an executor is lost, and neither an order, an announced end nor the loss of most of its rack explains it, the tasks that it has not survived for long are suspects. Suspects that had just started, or that two executors crashed under, start in isolation: on an executor that has survived its other runs, with nothing new beside them until it has survived them too. A second crash in isolation gives the task up. The crashes are part of the stored progress, a suspect waits until its crash is stored, and a new owner counts the start that its predecessor lost. Whatever merely ran beside the cause goes on: an end, or two seconds, clears it. Ruled out: giving up by the number of crashes alone, since twenty runs share an executor and each crash would condemn them all; isolation after every crash, which would take the pool for the runs of each crashed executor.

--- /dev/null
+++ b/core/cell/crash.go
@@ -0,0 +1,224 @@
+package cell
+
+import (
+	"slices"
+	"time"
+
+	"jacinthwind/core/event"
+	"jacinthwind/core/fleet"
+	"jacinthwind/core/job"
+	"jacinthwind/core/suspicion"
+)
+
+const (
+	// crashHoldLimit is how long a task waits for its crashes to be stored: without a
+	// store no other owner can claim.
+	crashHoldLimit = 1500 * time.Millisecond
+	// isolationCloseTime is how long an executor gets no new work so that its runs
+	// settle and one can start in isolation.
+	isolationCloseTime = 600 * time.Millisecond
+	// maxClosedDivisor gives the part of a pool that may be closed for isolated runs.
+	maxClosedDivisor = 2
+	// togetherWindow is how far apart executors that are lost for one reason fall silent.
+	togetherWindow = 300 * time.Millisecond
+	// minLostTogether is how many executors of a rack, more than half of it, must be lost
+	// together so that no task is blamed.
+	minLostTogether = 3
+)
+
+// markSilent records that an executor does not answer; outcome is empty if that is the
+// effect of an order for its VM.
+func (k *Kernel) markSilent(x *executor, outcome fleet.OrderOutcome) {
+	if x.misses > 0 {
+		return
+	}
+	x.silentSince = k.now.Monotonic
+	if outcome == "" || outcome == fleet.OrderUnknown {
+		x.misses = max(x.misses, missThreshold)
+	}
+	if outcome != "" {
+		k.log(event.ExecutorSilent, "executor", x.ID, "outcome", outcome, "runs", len(x.runs))
+	}
+}
+
+// survived returns how long the executor is known to have lived after the start of a run.
+func (r *run) survived() time.Duration { return max(r.executor.lastAnswerAt-r.startedAt(), 0) }
+
+// blameCrash records the loss of an executor at the tasks that may have caused it, and
+// gives up those that have crashed too many. The loss is certain to be a crash if the
+// executor's incarnation has ended.
+func (k *Kernel) blameCrash(x *executor, certain bool) {
+	if len(x.runs) == 0 || k.isPlannedEnd(x) || k.lostWithItsRack(x) {
+		return
+	}
+	runs := sortedRuns(x)
+	victims := make([]suspicion.Victim, len(runs))
+	for i, r := range runs {
+		victims[i] = suspicion.Victim{Survived: r.survived(), Isolated: r.isolated}
+	}
+	for _, i := range suspicion.Suspects(victims) {
+		r := runs[i]
+		if t := r.task(); t.currentRun == r && !r.step.job.state.IsFinal() {
+			k.suspectTask(r, victims[i], certain)
+		}
+	}
+}
+
+// suspectTask records a crash under a task.
+func (k *Kernel) suspectTask(r *run, v suspicion.Victim, certain bool) {
+	t, j := r.task(), r.step.job
+	t.crashes.Add(v, certain)
+	r.step.suspected = true
+	k.holdUntilStored(t, j)
+	if t.crashes.ShouldGiveUp() {
+		k.log(event.TaskGivenUp, "task", r.name, "run", r.number, "executor", r.executor.ID, "crashes", t.crashes)
+		k.endJob(j, job.Failed)
+	}
+}
+
+// holdUntilStored stores the crashes under a task and lets it wait for the write.
+func (k *Kernel) holdUntilStored(t *task, j *jobState) {
+	t.crashesWrite, t.crashHoldUntil = k.outbox.lastWrite+1, k.now.Monotonic+crashHoldLimit
+	k.markDirty(j)
+}
+
+// isPlannedEnd reports whether an executor ended as announced or by an order for its VM.
+func (k *Kernel) isPlannedEnd(x *executor) bool {
+	if x.Draining {
+		return true
+	}
+	if o, ok := k.vmOrders[x.lastVM]; ok && o.executor == x.ID && o.recorded {
+		return true
+	}
+	// An earlier owner may have ordered it.
+	vm, ok := k.vms[x.lastVM]
+	return ok && (vm.State == fleet.VMMoving || vm.State == fleet.VMMaintenance || vm.Pool != x.Pool)
+}
+
+// lostWithItsRack reports whether most executors of the rack fell silent together, which
+// no single task can cause.
+func (k *Kernel) lostWithItsRack(x *executor) bool {
+	rack := x.Rack()
+	if rack == "" || x.silentSince == 0 {
+		return false
+	}
+	together, total := 0, 0
+	for _, o := range k.executors {
+		if o.Rack() != rack || o.DataCentre != x.DataCentre {
+			continue
+		}
+		total++
+		if (o.misses > 0 || o == x) && (o.silentSince-x.silentSince).Abs() <= togetherWindow {
+			together++
+		}
+	}
+	return together >= minLostTogether && 2*together > total
+}
+
+// isCrashUnstored reports whether a task must not start yet since a crash under it is
+// not stored: the next owner would not know of it.
+func (k *Kernel) isCrashUnstored(t *task) bool {
+	if t.crashesWrite == 0 || k.now.Monotonic >= t.crashHoldUntil {
+		return false
+	}
+	stored := k.outbox.lastWrite
+	if k.outbox.inFlightWrite != 0 {
+		stored--
+	}
+	return stored < t.crashesWrite
+}
+
+// isClosed reports whether an executor gets no new work because of an isolated run.
+func (k *Kernel) isClosed(x *executor) bool {
+	return x.isolatedRuns > 0 || k.now.Monotonic < x.closedUntil
+}
+
+// canIsolate reports whether a crash of the executor would show what a run does that
+// starts now: the executor has survived all its other runs.
+func (k *Kernel) canIsolate(x *executor) bool {
+	if x.isolatedRuns > 0 {
+		return false
+	}
+	for _, r := range x.runs {
+		if r.state != runStopping && !suspicion.IsSettled(r.survived()) {
+			return false
+		}
+	}
+	return true
+}
+
+// executorsForIsolation returns the executors on which runs can start in isolation. If
+// there are none, it closes one to new work.
+func (k *Kernel) executorsForIsolation(free []*executor) []*executor {
+	var found []*executor
+	for _, x := range free {
+		if k.canIsolate(x) {
+			found = append(found, x)
+		}
+	}
+	if len(found) == 0 {
+		k.closeForIsolation(free)
+	}
+	slices.SortStableFunc(found, compareForIsolation)
+	return found
+}
+
+// compareForIsolation orders executors by the harm of a crash, those that have been up
+// for longer first.
+func compareForIsolation(a, b *executor) int {
+	if d := len(a.runs) - len(b.runs); d != 0 {
+		return d
+	}
+	return int(a.knownSince - b.knownSince)
+}
+
+// chooseForIsolation returns an executor on which a task can start in isolation, or nil.
+// If there is none, it closes an executor to new work.
+func (k *Kernel) chooseForIsolation(s *stepRun, t *task, free []*executor) *executor {
+	if k.isCrashUnstored(t) {
+		return nil
+	}
+	need := s.ReservedSize()
+	fitting := slices.DeleteFunc(slices.Clone(free), func(x *executor) bool { return !k.fits(x, s, need) })
+	if found := k.executorsForIsolation(fitting); len(found) > 0 {
+		return found[0]
+	}
+	return nil
+}
+
+// closeForIsolation closes the executor with the fewest runs to new work, unless too many
+// are closed.
+func (k *Kernel) closeForIsolation(free []*executor) {
+	var best *executor
+	closed := 0
+	for _, x := range free {
+		if k.isClosed(x) {
+			closed++
+		} else if best == nil || compareForIsolation(x, best) < 0 {
+			best = x
+		}
+	}
+	if best != nil && closed < max(len(free)/maxClosedDivisor, 1) {
+		best.closedUntil = k.now.Monotonic + isolationCloseTime
+		best.renewalEndedAt = min(best.renewalEndedAt, k.now.Monotonic-isolationRenewalInterval)
+	}
+}
+
+// endIsolation opens an executor to new work once it has survived its isolated runs for
+// long enough, and ends the suspicion against runs that it has survived for longer.
+func (k *Kernel) endIsolation(x *executor) {
+	for _, r := range sortedRuns(x) {
+		t := r.task()
+		if t.currentRun != r || t.crashes == (suspicion.Record{}) {
+			continue
+		}
+		if r.isolated && r.state == runActive && r.survived() >= t.crashes.Observation() {
+			r.isolated = false
+			x.isolatedRuns--
+		}
+		if suspicion.IsInnocent(r.survived()) {
+			t.crashes = suspicion.Record{}
+			k.markDirty(r.step.job)
+		}
+	}
+}
--- a/core/cell/executors.go
+++ b/core/cell/executors.go
@@ -60,6 +60,7 @@
 func (k *Kernel) resetIncarnation(x *executor, startedMs int64) {
 	k.log(event.ExecutorReborn, "executor", x.ID, "born", startedMs, "runs", len(x.runs))
 	k.logExecutorLoss(x, "it has a new incarnation")
+	k.blameCrash(x, true)
 	for _, r := range sortedRuns(x) {
 		if r.state != runStarting {
 			k.abandonRun(r, "reborn")
@@ -68,6 +69,7 @@
 	x.incarnationStartedMs, x.fenced = startedMs, false
 	x.ackedEnd, x.seenEnd, x.clockMs, x.grantedDeadlineMs = 0, 0, 0, 0
 	x.failureStreak, x.knownSince, x.incarnationSeenAt = 0, k.now.Monotonic, k.now.Monotonic
+	x.closedUntil = 0
 }
 
 // clockRegressionSlack is how far an executor's clock may lag behind the expected
@@ -165,6 +167,7 @@
 			reason = "the VM of the executor is not up"
 		}
 		k.logExecutorLoss(x, reason)
+		k.blameCrash(x, gone)
 		for _, r := range sortedRuns(x) {
 			k.abandonRun(r, reason)
 		}
@@ -229,7 +232,7 @@
 // abandonRun gives up a run that can no longer be active and requeues its task.
 func (k *Kernel) abandonRun(r *run, reason string) {
 	k.log(event.RunLost, "task", r.name, "run", r.number, "executor", r.executor.ID, "reason", reason,
-		"age_ms", (k.now.Monotonic - r.startedAt()).Milliseconds())
+		"age_ms", (k.now.Monotonic - r.startedAt()).Milliseconds(), "isolated", r.isolated, "crashes", r.task().crashes)
 	k.releaseRun(r)
 	if t := r.task(); t.currentRun == r {
 		t.currentRun = nil
@@ -270,6 +273,10 @@
 	}
 	delete(r.executor.runs, key)
 	r.executor.runOrder = nil
+	if r.isolated {
+		r.isolated = false
+		r.executor.isolatedRuns--
+	}
 	if r.step.Service {
 		r.executor.serviceUsed = r.executor.serviceUsed.Sub(r.reserved)
 	}
--- a/core/cell/outbox.go
+++ b/core/cell/outbox.go
@@ -7,6 +7,7 @@
 
 	"jacinthwind/core/event"
 	"jacinthwind/core/job"
+	"jacinthwind/core/suspicion"
 )
 
 // outbox collects the changes to be stored, and the actions that wait for their
@@ -155,13 +156,20 @@
 	for _, s := range j.steps {
 		for i := range s.tasks {
 			t := &s.tasks[i]
-			if !t.anyRunEnded {
+			suspected := t.crashes != suspicion.Record{} && t.state != taskDone
+			if !t.anyRunEnded && !suspected {
 				continue
 			}
-			p.Tasks = append(p.Tasks, job.TaskProgress{
+			tp := job.TaskProgress{
 				Occurrence: s.occurrence, Step: s.index, Index: i,
 				Done: t.state == taskDone, Failed: t.failedRuns, Run: t.highestEndedRun, Checkpoint: t.checkpoint,
-			})
+			}
+			if suspected {
+				// A copy, since the record is encoded after later crashes.
+				crashes := t.crashes
+				tp.Crashes = &crashes
+			}
+			p.Tasks = append(p.Tasks, tp)
 		}
 	}
 	return p
--- a/core/cell/recover.go
+++ b/core/cell/recover.go
@@ -24,6 +24,9 @@
 		t := &s.tasks[tp.Index]
 		t.anyRunEnded, t.failedRuns, t.checkpoint = true, tp.Failed, tp.Checkpoint
 		t.highestRun, t.highestEndedRun = tp.Run, tp.Run
+		if tp.Crashes != nil {
+			t.crashes, s.suspected = *tp.Crashes, true
+		}
 		if tp.Done && t.state != taskDone {
 			t.state = taskDone
 			s.waitingTasks--
@@ -72,9 +75,16 @@
 	for _, id := range slices.Sorted(maps.Keys(k.jobs)) {
 		for _, s := range k.jobs[id].steps {
 			for i := range s.tasks {
-				if s.tasks[i].uncertain {
-					s.tasks[i].uncertain = false
-					uncertain++
+				t := &s.tasks[i]
+				if !t.uncertain {
+					continue
+				}
+				t.uncertain = false
+				uncertain++
+				if t.crashes.NeedsIsolation() {
+					// The earlier owner has probably started it, and no executor has it.
+					t.crashes.PresumeCrash()
+					k.holdUntilStored(t, s.job)
 				}
 			}
 		}
--- a/core/cell/renewal.go
+++ b/core/cell/renewal.go
@@ -20,6 +20,9 @@
 	// stored.
 	unackedRenewalInterval = 250 * time.Millisecond
 	missedRenewalInterval  = 300 * time.Millisecond
+	// isolationRenewalInterval is the time between renewals of an executor on which a
+	// run is isolated.
+	isolationRenewalInterval = 80 * time.Millisecond
 	// idleRenewalInterval is the time between renewals of an executor without runs.
 	// Each renewal has a price, and if an idle executor is silent unnoticed, the next
 	// start loses half a second.
@@ -69,6 +72,8 @@
 		return missedRenewalInterval, 0
 	case !x.fenced:
 		return 0, 0
+	case x.isolatedRuns > 0:
+		return isolationRenewalInterval, 0
 	case x.seenEnd > x.ackedEnd:
 		return unackedRenewalInterval, 0
 	case len(x.runs) == 0:
@@ -106,10 +111,8 @@
 		k.depose("executor " + x.ID + " has seen a higher token")
 		return
 	default:
+		k.markSilent(x, s.Outcome)
 		x.misses++
-		if x.misses == 1 {
-			k.log(event.ExecutorSilent, "executor", x.ID, "outcome", s.Outcome, "runs", len(x.runs))
-		}
 		return
 	}
 	if s.StartedMs != 0 && s.StartedMs != x.incarnationStartedMs {
@@ -143,6 +146,7 @@
 		// deadline.
 		x.renewalEndedAt = 0
 	}
+	k.endIsolation(x)
 	k.stopStragglers(x)
 	k.adjustThrottles(x)
 }
--- a/core/cell/runs.go
+++ b/core/cell/runs.go
@@ -7,6 +7,7 @@
 	"jacinthwind/core/event"
 	"jacinthwind/core/fleet"
 	"jacinthwind/core/job"
+	"jacinthwind/core/suspicion"
 )
 
 // reserveRun creates a run of a task and reserves its resources on an executor.
@@ -35,6 +36,10 @@
 // startTask sends a start order for a task to an executor.
 func (k *Kernel) startTask(x *executor, s *stepRun, index, number int) {
 	r := k.reserveRun(x, s, index, number)
+	if s.tasks[index].crashes.NeedsIsolation() {
+		r.isolated = true
+		x.isolatedRuns++
+	}
 	r.state, r.sentAt = runStarting, k.now.Monotonic
 	deadline := max(k.nextDeadline(x), x.grantedDeadlineMs)
 	x.grantedDeadlineMs = deadline
@@ -43,7 +48,8 @@
 		DeadlineMs: deadline, Token: k.Token, Checkpoint: s.tasks[index].checkpoint,
 		Ticket: s.tickets[x.ID],
 	}})
-	k.log(event.RunStarted, "task", r.name, "run", number, "executor", x.ID, "waited_ms", (k.now.Monotonic - s.readyAt).Milliseconds())
+	k.log(event.RunStarted, "task", r.name, "run", number, "executor", x.ID, "waited_ms", (k.now.Monotonic - s.readyAt).Milliseconds(),
+		"isolated", r.isolated)
 	k.markStarted(s.job)
 }
 
@@ -71,10 +77,7 @@
 		if r.state == runStarting {
 			r.state = runUnknown
 		}
-		if x.misses == 0 {
-			k.log(event.ExecutorSilent, "executor", x.ID, "outcome", e.Answer.Outcome, "runs", len(x.runs))
-		}
-		x.misses = max(x.misses, missThreshold)
+		k.markSilent(x, e.Answer.Outcome)
 	case fleet.OrderFenced:
 		k.depose("executor " + x.ID + " has seen a higher token")
 	default:
@@ -237,6 +240,9 @@
 	t := &s.tasks[index]
 	t.anyRunEnded = true
 	t.highestRun, t.highestEndedRun = max(t.highestRun, e.Run), max(t.highestEndedRun, e.Run)
+	if e.End == fleet.EndDone || e.End == fleet.EndFailed {
+		t.crashes = suspicion.Record{}
+	}
 	if e.Checkpoint != "" {
 		t.checkpoint = e.Checkpoint
 	}
--- a/core/cell/schedule.go
+++ b/core/cell/schedule.go
@@ -137,7 +137,8 @@
 // startStep starts as many waiting tasks of a step as fit. Each start only makes the
 // room smaller, so what did not fit for an earlier step does not fit for a later one.
 func (k *Kernel) startStep(s *stepRun, free []*executor, full *fullPool) {
-	if full.rejects(s.ReservedSize()) {
+	// Executors that are closed to others may be open to suspected tasks.
+	if !s.suspected && full.rejects(s.ReservedSize()) {
 		return
 	}
 	if s.job.queue != nil && s.job.queue.NeedsTicket && !k.ensureTickets(s, free) {
@@ -155,11 +156,20 @@
 		if !k.withinTeamLimit(s, 1) {
 			return
 		}
+		if t.crashes.NeedsIsolation() {
+			if x := k.chooseForIsolation(s, t, free); x != nil {
+				k.startTask(x, s, i, max(t.highestRun, k.RunBase)+1)
+			}
+			continue
+		}
+		if k.isCrashUnstored(t) {
+			continue
+		}
 		x := k.chooseExecutor(s, t, free)
 		if x == nil {
 			// Tasks that have not failed are alike, so none of the others fits either. A
 			// failed task ranks executors differently and may wait for its rack alone.
-			if len(t.failedRuns) == 0 {
+			if len(t.failedRuns) == 0 && !s.suspected {
 				if s.isUnconstrained() {
 					full.sizes = append(full.sizes, s.ReservedSize())
 				}
@@ -218,6 +228,11 @@
 
 // canRun reports whether an executor meets the requirements of a step.
 func (k *Kernel) canRun(x *executor, s *stepRun, need fleet.Vector) bool {
+	return !k.isClosed(x) && k.fits(x, s, need)
+}
+
+// fits reports whether an executor has room for a task and meets its requirements.
+func (k *Kernel) fits(x *executor, s *stepRun, need fleet.Vector) bool {
 	if x.avoidUntil > k.now.Monotonic || !x.used.Add(need).FitsIn(x.Capacity) || (s.Label != "" && !x.HasLabel(s.Label)) {
 		return false
 	}
@@ -306,18 +321,23 @@
 // startGang starts all tasks of a gang at once, or none.
 func (k *Kernel) startGang(s *stepRun, free []*executor) {
 	number := k.RunBase
+	isolate := false
 	for i := range s.tasks {
 		t := &s.tasks[i]
-		if t.state != taskWaiting || t.uncertain || t.retryAt > k.now.Monotonic {
+		if t.state != taskWaiting || t.uncertain || t.retryAt > k.now.Monotonic || k.isCrashUnstored(t) {
 			return
 		}
 		number = max(number, t.highestRun)
+		isolate = isolate || t.crashes.NeedsIsolation()
+	}
+	if isolate {
+		free = k.executorsForIsolation(free)
 	}
 	if !k.withinTeamLimit(s, s.Count) {
 		return
 	}
 	for _, group := range rackGroups(s, free) {
-		if assigned := k.assignGang(s, group); assigned != nil {
+		if assigned := k.assignGang(s, group, isolate); assigned != nil {
 			checkpoint := s.tasks[0].checkpoint
 			for i, x := range assigned {
 				s.tasks[i].checkpoint = checkpoint
@@ -346,8 +366,8 @@
 }
 
 // assignGang returns an executor for each task of a gang, or nil if not all tasks
-// fit.
-func (k *Kernel) assignGang(s *stepRun, free []*executor) []*executor {
+// fit. Executors that are closed for isolated runs only take a gang that is isolated.
+func (k *Kernel) assignGang(s *stepRun, free []*executor, isolate bool) []*executor {
 	need := s.ReservedSize()
 	assigned := map[*executor]int64{}
 	var executors []*executor
@@ -355,7 +375,7 @@
 		var found *executor
 		for _, x := range free {
 			taken := assigned[x]
-			if !k.canRun(x, s, need.Times(taken+1)) || (s.PerExecutor > 0 && x.countRuns(s)+int(taken) >= s.PerExecutor) {
+			if !k.fits(x, s, need.Times(taken+1)) || (!isolate && k.isClosed(x)) || (s.PerExecutor > 0 && x.countRuns(s)+int(taken) >= s.PerExecutor) {
 				continue
 			}
 			found = x
--- a/core/cell/state.go
+++ b/core/cell/state.go
@@ -6,6 +6,7 @@
 	"jacinthwind/core/demand"
 	"jacinthwind/core/fleet"
 	"jacinthwind/core/job"
+	"jacinthwind/core/suspicion"
 )
 
 // jobState is a job with its progress.
@@ -62,6 +63,8 @@
 	tickets           map[string]string
 	ticketsExpireAt   time.Duration
 	adviceRequestedAt time.Duration
+	// suspected is true once an executor has crashed under one of the tasks.
+	suspected bool
 }
 
 // taskState is the scheduling state of a task.
@@ -92,6 +95,11 @@
 	lastFailedOn string
 	retryAt      time.Duration
 	currentRun   *run
+	// crashes holds the crashes of executors under the task. The task does not start
+	// again before the write crashesWrite has stored it, or until crashHoldUntil.
+	crashes        suspicion.Record
+	crashesWrite   int64
+	crashHoldUntil time.Duration
 }
 
 // runState is the state of a run.
@@ -134,6 +142,9 @@
 	load            int64
 	throttlePercent int
 	throttledAt     time.Duration
+	// isolated is true while nothing else may start on the executor, so that a crash
+	// shows what this run does.
+	isolated bool
 }
 
 // runKey identifies a run on an executor.
@@ -179,6 +190,12 @@
 	renewalEndedAt time.Duration
 	// lastAnswerAt is when the executor last answered a call.
 	lastAnswerAt time.Duration
+	// silentSince is when the executor first missed a call after its last answer.
+	silentSince time.Duration
+	// isolatedRuns counts the runs in isolation. Until closedUntil nothing starts here,
+	// so that a run can be isolated once the others have settled.
+	isolatedRuns int
+	closedUntil  time.Duration
 	// misses counts the unanswered renewals in a row. An unanswered start or a
 	// confirmed order for the VM also raises it to missThreshold.
 	misses int
@@ -188,6 +205,8 @@
 	// avoidUntil is the time until which the executor gets no new work.
 	avoidUntil time.Duration
 	vmName     string
+	// lastVM is the VM that was last listed with this executor.
+	lastVM string
 	// cordoned executors get no new work because their VM is to be taken away.
 	cordoned bool
 	// maintenanceDue is true if a wave will take the VM down.
--- a/core/cell/vm_order.go
+++ b/core/cell/vm_order.go
@@ -41,7 +41,7 @@
 	for _, vm := range vms {
 		k.vms[vm.Name] = vm
 		if x := k.executors[vm.Executor]; x != nil && vm.Executor != "" {
-			x.vmName = vm.Name
+			x.vmName, x.lastVM = vm.Name, vm.Name
 			x.absent = x.absent && vm.State != fleet.VMUp
 		}
 		k.completeVMOrder(vm)
@@ -183,7 +183,7 @@
 		if x != nil {
 			// The platform also confirms an order that was carried out earlier, so only
 			// the list of VMs or a silent executor shows that the executor has ended.
-			x.misses = max(x.misses, missThreshold)
+			k.markSilent(x, "")
 		}
 		if w != nil {
 			k.markVMDone(w, e.VM)
--- a/core/event/platform.go
+++ b/core/event/platform.go
@@ -16,6 +16,7 @@
 	JobSucceeded          Number = 611
 	JobFailed             Number = 612
 	RunStraggles          Number = 613
+	TaskGivenUp           Number = 614
 	ExecutorSilent        Number = 621
 	ExecutorAnswers       Number = 622
 	ExecutorAvoided       Number = 623
@@ -84,6 +85,7 @@
 		JobSucceeded:          "all tasks of a job are done",
 		JobFailed:             "a job failed: one of its tasks failed as often as its queue allows",
 		RunStraggles:          "a run that makes no or too little progress is stopped to run elsewhere",
+		TaskGivenUp:           "a task is given up since it crashes the executors that start it",
 		ExecutorSilent:        "an executor does not answer",
 		ExecutorAnswers:       "an executor answers again",
 		ExecutorAvoided:       "an executor that failed runs gets no work for a while",
@@ -145,6 +147,7 @@
 var warnings = map[Number]bool{
 	RunLost:              true,
 	ExecutorLost:         true,
+	TaskGivenUp:          true,
 	RunNotWanted:         true,
 	RunStraggles:         true,
 	ExecutorSilent:       true,
--- a/core/job/progress.go
+++ b/core/job/progress.go
@@ -1,11 +1,13 @@
 package job
 
+import "jacinthwind/core/suspicion"
+
 // Progress is the stored progress of a job.
 type Progress struct {
 	State State `json:"state"`
 	// EndedMs is the Unix time in milliseconds at which the state became final.
 	EndedMs int64 `json:"ended_ms,omitempty"`
-	// Tasks holds an entry for each task that had a run that ended.
+	// Tasks holds an entry for each task that had a run that ended or is under suspicion.
 	Tasks []TaskProgress `json:"tasks,omitempty"`
 }
 
@@ -23,4 +25,6 @@
 	Run int `json:"r,omitempty"`
 	// Checkpoint is the latest checkpoint, empty if there is none.
 	Checkpoint string `json:"c,omitempty"`
+	// Crashes holds the crashes of executors under the task, nil if there were none.
+	Crashes *suspicion.Record `json:"x,omitempty"`
 }
--- /dev/null
+++ b/core/suspicion/record_test.go
@@ -0,0 +1,56 @@
+package suspicion_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"jacinthwind/core/suspicion"
+)
+
+func TestSuspects(t *testing.T) {
+	const ms = time.Millisecond
+	for name, c := range map[string]struct {
+		victims []suspicion.Victim
+		want    []int
+	}{
+		"none":                        {nil, nil},
+		"the isolated run only":       {[]suspicion.Victim{{Survived: 5 * ms}, {Isolated: true, Survived: 90 * ms}}, []int{1}},
+		"a long run is no suspect":    {[]suspicion.Victim{{Survived: time.Minute}, {Survived: 900 * ms}, {}}, []int{1, 2}},
+		"only long runs are suspects": {[]suspicion.Victim{{Survived: time.Minute}, {Survived: time.Hour}}, []int{0, 1}},
+	} {
+		t.Run(name, func(t *testing.T) { require.Equal(t, c.want, suspicion.Suspects(c.victims)) })
+	}
+}
+
+func TestRecord(t *testing.T) {
+	prompt, late := suspicion.Victim{}, suspicion.Victim{Survived: time.Second}
+	isolated := suspicion.Victim{Isolated: true}
+	for name, c := range map[string]struct {
+		crashes         []suspicion.Victim
+		uncertain       bool
+		isolate, giveUp bool
+	}{
+		"no crash":                         {},
+		"one late crash":                   {crashes: []suspicion.Victim{late}},
+		"one prompt crash":                 {crashes: []suspicion.Victim{prompt}, isolate: true},
+		"two late crashes":                 {crashes: []suspicion.Victim{late, late}, isolate: true},
+		"one in isolation may be chance":   {crashes: []suspicion.Victim{prompt, isolated}, isolate: true},
+		"two in isolation":                 {crashes: []suspicion.Victim{prompt, isolated, isolated}, isolate: true, giveUp: true},
+		"crashes beside others only":       {crashes: []suspicion.Victim{late, late, late, late}, isolate: true},
+		"losses that may not be crashes":   {crashes: []suspicion.Victim{prompt, isolated, isolated, isolated}, uncertain: true, isolate: true},
+		"late crash and two in isolation":  {crashes: []suspicion.Victim{late, late, isolated, isolated}, isolate: true, giveUp: true},
+		"many beside others, one isolated": {crashes: []suspicion.Victim{late, late, late, isolated}, isolate: true, giveUp: true},
+		"prompt, beside others, isolation": {crashes: []suspicion.Victim{prompt, late, isolated}, isolate: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var r suspicion.Record
+			for _, v := range c.crashes {
+				r.Add(v, !c.uncertain)
+			}
+			require.Equal(t, c.isolate, r.NeedsIsolation())
+			require.Equal(t, c.giveUp, r.ShouldGiveUp())
+		})
+	}
+}
--- a/edge/call_metrics.go
+++ b/edge/call_metrics.go
@@ -37,6 +37,7 @@
 	event.ExecutorLost: "executors_lost",
 	event.RunLost:      "runs_lost",
 	event.JobFailed:    "jobs_failed",
+	event.TaskGivenUp:  "tasks_given_up",
 }
 
 // countEvent counts an event that has a counter.
