Tell callers to come back while capacities are shrunk

Cause: the largest executor was looked up in present capacities; an executor that had shrunk below what runs on it also counted as negative capacity of its pool and so took from the others. Change: a job is unservable only if it is larger than any executor has been or its VM is listed with; if none has the capacity at present, the caller is told when to return. Capacities below zero count as none. Ruled out: stopping runs on an executor that shrank: the rule is about starts, and a run stopped is work lost. Evidence: TestJobsAreRefusedForeverWhileCapacityIsShrunk failed with 'unservable' before and passes.

--- a/core/cell/crash_test.go
+++ b/core/cell/crash_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"jacinthwind/core/cell"
 	"jacinthwind/core/fleet"
 	"jacinthwind/core/job"
 )
@@ -133,3 +134,22 @@
 		require.Contains(t, []job.State{job.Succeeded, ""}, w.jobState(id), "job %s", id)
 	}
 }
+
+// TestJobsAreRefusedForeverWhileCapacityIsShrunk guards against answering that a job can
+// never run while the executors that could run it have shrunk.
+func TestJobsAreRefusedForeverWhileCapacityIsShrunk(t *testing.T) {
+	w := newWorld(t, 2)
+	w.advance(time.Second)
+	for _, x := range w.executors {
+		x.Capacity = fleet.Vector{CPU: 1000, Mem: 300}
+	}
+	w.listExecutors()
+	shrunk := w.submitJob(simpleJob(1, 1, 4000))
+	never := w.submitJob(simpleJob(2, 1, 9000))
+	small := w.submitJob(simpleJob(3, 1, 500))
+	w.advance(100 * time.Millisecond)
+	require.Equal(t, cell.Refused, w.verdicts[shrunk].Verdict)
+	require.Positive(t, w.verdicts[shrunk].RetryAfter)
+	require.Equal(t, cell.Unservable, w.verdicts[never].Verdict)
+	require.Equal(t, cell.Accepted, w.verdicts[small].Verdict)
+}
--- a/core/cell/executors.go
+++ b/core/cell/executors.go
@@ -50,6 +50,7 @@
 			x.incarnationSeenAt = k.now.Monotonic
 		}
 		x.Executor = e
+		x.fullCapacity = x.fullCapacity.Max(e.Capacity)
 		x.listed = true
 	}
 }
--- a/core/cell/fake_executor_test.go
+++ b/core/cell/fake_executor_test.go
@@ -93,6 +93,9 @@
 	if o.Run <= x.highestEndedRun[o.Task] {
 		return answer(fleet.OrderSuperseded)
 	}
+	if w.refuseStarts() {
+		return answer(fleet.OrderNoCapacity)
+	}
 	id, err := job.ParseTaskID(o.Task)
 	require.NoError(w.t, err)
 	spec := w.specs[id.Job]
--- a/core/cell/kernel.go
+++ b/core/cell/kernel.go
@@ -82,11 +82,12 @@
 	jobs      map[string]*jobState
 	executors map[string]*executor
 	// executorOrder holds the executors in the order of their ids. executorsByPool
-	// divides them, and largest is the largest capacity of any of them, per resource;
-	// both are zero after a change until they are computed again.
-	executorOrder   []*executor
-	executorsByPool map[string][]*executor
-	largest         fleet.Vector
+	// divides them. largest is the largest capacity that any of them has had, per
+	// resource, and largestNow the largest at present; they are zero after a change until
+	// they are computed again.
+	executorOrder       []*executor
+	executorsByPool     map[string][]*executor
+	largest, largestNow fleet.Vector
 	// capacities caches the capacities of pools between two ticks.
 	capacities map[capacityKey]capacity
 	// vmOrder caches the names of the VMs in their order; it is nil after a change.
@@ -248,7 +249,7 @@
 
 // forgetExecutorIndexes discards what is cached of the list of executors.
 func (k *Kernel) forgetExecutorIndexes() {
-	k.executorsByPool, k.largest = nil, fleet.Vector{}
+	k.executorsByPool, k.largest, k.largestNow = nil, fleet.Vector{}, fleet.Vector{}
 	clear(k.capacities)
 }
 
--- a/core/cell/state.go
+++ b/core/cell/state.go
@@ -157,6 +157,9 @@
 type executor struct {
 	fleet.Executor
 	listed bool
+	// fullCapacity is the largest capacity that the executor has had; its present one may
+	// shrink and grow.
+	fullCapacity fleet.Vector
 	// fenced is true once the present incarnation has answered a renewal that carried
 	// our token; fencedAt is when it did.
 	fenced   bool
--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -86,6 +86,11 @@
 	if j.HasService() || j.OccurrenceCount > 0 {
 		return Answer{Verdict: Accepted}
 	}
+	for i := range j.Steps {
+		if r := j.Steps[i].ReservedSize(); !r.FitsIn(c.largestNow) && c.largestNow != (fleet.Vector{}) {
+			return Answer{Verdict: Refused, RetryAfter: maxRetryAfter, Reason: "a task is larger than every executor at present"}
+		}
+	}
 	criticalPath := j.CriticalPath()
 	due := first + latencyObjective(queue, criticalPath)
 	wait, ok := k.expectedWait(j, queue, due, c)
@@ -162,9 +167,10 @@
 
 // capacity is what a pool can offer to work that ends, in cores.
 type capacity struct {
-	// largest holds the largest capacity of any executor of any pool, per resource. It
-	// is limited neither to the pool nor to a label.
-	largest fleet.Vector
+	// largest holds the largest capacity that any executor of any pool has had, per
+	// resource, and largestNow the largest at present. They are limited neither to the
+	// pool nor to a label.
+	largest, largestNow fleet.Vector
 	// currentCores is what the pool's executors offer now; upcomingCores is what
 	// moving or lendable VMs would add.
 	currentCores, upcomingCores float64
@@ -207,23 +213,26 @@
 	return c
 }
 
-// largestCapacity returns the largest capacity of any executor, per resource.
-func (k *Kernel) largestCapacity() fleet.Vector {
+// largestCapacities returns the largest capacity that any executor has had and the
+// largest at present, per resource.
+func (k *Kernel) largestCapacities() (ever, now fleet.Vector) {
 	if k.largest == (fleet.Vector{}) {
 		for _, x := range k.executors {
-			k.largest = fleet.Vector{CPU: max(k.largest.CPU, x.Capacity.CPU), Mem: max(k.largest.Mem, x.Capacity.Mem), GPU: max(k.largest.GPU, x.Capacity.GPU)}
+			k.largest, k.largestNow = k.largest.Max(x.fullCapacity), k.largestNow.Max(x.Capacity)
 		}
 	}
-	return k.largest
+	return k.largest, k.largestNow
 }
 
 func (k *Kernel) computeCapacity(pool, label string) capacity {
-	c := capacity{largest: k.largestCapacity()}
+	var c capacity
+	c.largest, c.largestNow = k.largestCapacities()
 	for _, x := range k.poolExecutors(pool) {
 		if !k.isUsable(x) || (label != "" && !x.HasLabel(label)) {
 			continue
 		}
-		c.currentCores += float64(x.Capacity.CPU-x.serviceUsed.CPU) / 1000
+		// A capacity that has shrunk may be less than what runs there.
+		c.currentCores += float64(max(x.Capacity.CPU-x.serviceUsed.CPU, 0)) / 1000
 	}
 	for name, o := range k.vmOrders {
 		if vm := k.vms[name]; o.pool == pool && (label == "" || slices.Contains(vm.Labels, label)) {
--- a/core/cell/vm_order.go
+++ b/core/cell/vm_order.go
@@ -30,7 +30,7 @@
 	vms := e.VMs
 	k.vmsListedAt = k.now.Monotonic
 	k.vms = make(map[string]fleet.VM, len(vms))
-	k.vmOrder = nil
+	k.vmOrder, k.largest = nil, fleet.Vector{}
 	clear(k.capacities)
 	for _, x := range k.executors {
 		x.vmName = ""
@@ -42,6 +42,7 @@
 		k.vms[vm.Name] = vm
 		if x := k.executors[vm.Executor]; x != nil && vm.Executor != "" {
 			x.vmName, x.lastVM = vm.Name, vm.Name
+			x.fullCapacity = x.fullCapacity.Max(vm.Capacity)
 			x.absent = x.absent && vm.State != fleet.VMUp
 		}
 		k.completeVMOrder(vm)
--- a/core/fleet/vector.go
+++ b/core/fleet/vector.go
@@ -25,6 +25,11 @@
 	return Vector{v.CPU * n, v.Mem * n, v.GPU * n}
 }
 
+// Max returns the larger of v and w, per resource.
+func (v Vector) Max(w Vector) Vector {
+	return Vector{max(v.CPU, w.CPU), max(v.Mem, w.Mem), max(v.GPU, w.GPU)}
+}
+
 // FitsIn reports whether no component of v exceeds that of capacity.
 func (v Vector) FitsIn(capacity Vector) bool {
 	return v.CPU <= capacity.CPU && v.Mem <= capacity.Mem && v.GPU <= capacity.GPU
