Pause longer after each start that an executor refuses

Callers saw nothing; each refused start is priced, and the task waits. Cause: the same class as the crashing tasks: what fails is repeated without limit. An executor that guards its capacity and has less than its entry says got a start every 40 ms until the entry changed. Change: the pause after a refusal for want of capacity, or because the deadline had passed, doubles from 30 ms to 1 s and ends with an accepted start. Starts that were sent together count once. Ruled out: to wait for a change of the entry: a run that ends also makes room.

--- a/core/cell/crash_test.go
+++ b/core/cell/crash_test.go
@@ -153,3 +153,19 @@
 	require.Equal(t, cell.Unservable, w.verdicts[never].Verdict)
 	require.Equal(t, cell.Accepted, w.verdicts[small].Verdict)
 }
+
+// TestRefusedStartIsRepeatedWithoutPause guards against repeating a start many times a
+// second at an executor that has less room than its entry says.
+func TestRefusedStartIsRepeatedWithoutPause(t *testing.T) {
+	w := newWorld(t, 1)
+	w.advance(time.Second)
+	attempts := 0
+	w.refuseStarts = func() bool { attempts++; return true }
+	call := w.submitJob(simpleJob(1, 1, 4000))
+	w.advance(3 * time.Second)
+	require.Equal(t, cell.Accepted, w.verdicts[call].Verdict)
+	require.LessOrEqual(t, attempts, 10)
+	w.refuseStarts = func() bool { return false }
+	w.advance(2 * time.Second)
+	require.Equal(t, job.Succeeded, w.jobState(simpleJob(1, 1, 1).ID))
+}
--- a/core/cell/executors.go
+++ b/core/cell/executors.go
@@ -18,8 +18,8 @@
 	// executor gets no new work for failureAvoidance.
 	failureThreshold = 2
 	failureAvoidance = 4 * time.Second
-	// refusalAvoidance is how long an executor that refused an order gets no new
-	// work.
+	// refusalAvoidance is the longest time that an executor gets no new work because it
+	// refused an order.
 	refusalAvoidance = time.Second
 )
 
--- a/core/cell/runs.go
+++ b/core/cell/runs.go
@@ -70,6 +70,7 @@
 	r.answeredAt = k.now.Monotonic
 	switch e.Answer.Outcome {
 	case fleet.OrderDone:
+		x.refusals = 0
 		if r.state == runStarting || r.state == runUnknown {
 			r.state, r.beganAt, r.progressedAt = runActive, k.now.Monotonic, k.now.Monotonic
 		}
@@ -97,7 +98,12 @@
 	case fleet.OrderOtherIncarnation, fleet.OrderRefused, fleet.OrderInvalid:
 		x.avoidUntil = k.now.Monotonic + refusalAvoidance
 	case fleet.OrderNoCapacity, fleet.OrderDeadlinePassed:
-		x.avoidUntil = k.now.Monotonic + minRenewalInterval
+		if k.now.Monotonic < x.avoidUntil {
+			// It was sent together with one that was refused.
+			return
+		}
+		x.avoidUntil = k.now.Monotonic + min(minRenewalInterval<<min(x.refusals, 10), refusalAvoidance)
+		x.refusals++
 	case fleet.OrderNoTicket:
 		delete(r.step.tickets, x.ID)
 	}
--- a/core/cell/state.go
+++ b/core/cell/state.go
@@ -205,6 +205,9 @@
 	// failureStreak counts the failed runs since the last success.
 	failureStreak int
 	lastSuccessAt time.Duration
+	// refusals counts the starts in a row that the executor refused for want of capacity
+	// or because its deadline had passed.
+	refusals int
 	// avoidUntil is the time until which the executor gets no new work.
 	avoidUntil time.Duration
 	vmName     string
