Let a new owner skip stored records that it cannot read

Callers would see: no job accepted, renewed or ended, on any node, for good. The next node read the same record. Change: each record is decoded and checked by itself. One that cannot be read is logged (747) and its job is known and can be cancelled, but does not run, since what has run of it is not known; an ended job keeps its state. An unreadable list of VM orders holds back all VMs for the lease of an order. Ruled out: taking a job without readable progress as new: its tasks would run twice. Deleting the record: it is the only trace of the job.

--- a/core/cell/kernel.go
+++ b/core/cell/kernel.go
@@ -118,6 +118,8 @@
 	// holds the VMs for which an earlier owner recently recorded an order.
 	orderRecordedAt map[string]time.Duration
 	inheritedOrders map[string]bool
+	// inheritsUnknownOrders is true if it could not be read which VMs these are.
+	inheritsUnknownOrders bool
 	// orderRefusedAt holds when an order for a VM was last refused.
 	orderRefusedAt   map[string]time.Duration
 	outbox           outbox
--- a/core/cell/recover.go
+++ b/core/cell/recover.go
@@ -58,6 +58,16 @@
 	k.beginJob(j)
 }
 
+// LoadUnreadableJob restores a job whose record cannot be read; it must be called before
+// the first event. The job is known and can be cancelled, but it does not run: what has
+// run of it is not known.
+func (k *Kernel) LoadUnreadableJob(id string) {
+	k.jobs[id] = &jobState{
+		Job: &job.Job{ID: id, AcceptedMs: k.now.UnixMs}, state: job.Running, visibleState: job.Running, stored: true, started: true,
+		arrivedAt: k.now.Monotonic,
+	}
+}
+
 // finishRecovery ends the recovery once no order of an earlier owner can be in
 // effect unnoticed: either every executor has answered under our token, or all
 // inherited deadlines have passed.
--- a/core/cell/renewal.go
+++ b/core/cell/renewal.go
@@ -248,7 +248,7 @@
 // stepAt returns a step of an occurrence, or nil.
 func (j *jobState) stepAt(occurrence, step int) *stepRun {
 	i := occurrence*len(j.Steps) + step
-	if step >= len(j.Steps) || i >= len(j.steps) {
+	if occurrence < 0 || step < 0 || step >= len(j.Steps) || i >= len(j.steps) {
 		return nil
 	}
 	return j.steps[i]
--- a/core/cell/vm_order.go
+++ b/core/cell/vm_order.go
@@ -91,7 +91,7 @@
 	if at, refused := k.orderRefusedAt[vm]; refused && k.now.Monotonic < at+vmOrderRetryInterval {
 		return false
 	}
-	return !k.inheritedOrders[vm] || k.now.Monotonic >= k.claimedAt+k.VMOrderLease
+	return (!k.inheritedOrders[vm] && !k.inheritsUnknownOrders) || k.now.Monotonic >= k.claimedAt+k.VMOrderLease
 }
 
 // recordVMOrder records an order for a VM and lets it be sent once the record is
@@ -165,6 +165,10 @@
 	}
 }
 
+// LoadUnreadableVMOrders takes every VM for one with an order of an earlier owner; it must
+// be called before the first event.
+func (k *Kernel) LoadUnreadableVMOrders() { k.inheritsUnknownOrders = true }
+
 // handleVMOrderAnswer handles the platform's answer to an order for a VM.
 func (k *Kernel) handleVMOrderAnswer(e VMOrdered) {
 	o, ok := k.vmOrders[e.VM]
--- a/core/event/platform.go
+++ b/core/event/platform.go
@@ -68,6 +68,7 @@
 	CarrierJoined         Number = 744
 	CarrierLost           Number = 745
 	OrderTooOld           Number = 746
+	RecordSkipped         Number = 747
 )
 
 func init() {
@@ -137,6 +138,7 @@
 		CarrierJoined:         "a node linked to this owner and may carry its orders",
 		CarrierLost:           "a node carries no more orders; the outcome of those that it had is unknown",
 		OrderTooOld:           "an order was not sent to its executor since it had become too old on its way",
+		RecordSkipped:         "a stored record cannot be read and is skipped",
 	} {
 		Catalogue[n] = text
 	}
@@ -147,6 +149,7 @@
 var warnings = map[Number]bool{
 	RunLost:              true,
 	ExecutorLost:         true,
+	RecordSkipped:        true,
 	TaskGivenUp:          true,
 	RunNotWanted:         true,
 	RunStraggles:         true,
--- a/edge/load_records.go
+++ b/edge/load_records.go
@@ -8,58 +8,103 @@
 	"strconv"
 	"strings"
 
+	"go.uber.org/zap"
+
+	"jacinthwind/common/eventlog"
 	"jacinthwind/core"
 	"jacinthwind/core/cell"
+	"jacinthwind/core/event"
 	"jacinthwind/core/job"
 )
 
-// loadRecords loads the records that earlier owners stored into a kernel.
-func loadRecords(k *cell.Kernel, jobs, progress, waves map[string]core.Item, orders core.Item) error {
-	for key, item := range jobs {
-		var j job.Job
-		if err := json.Unmarshal(item.Value, &j); err != nil {
-			return fmt.Errorf("decode job record %s: %w", key, err)
-		}
-		p := job.Progress{State: job.Pending}
-		if stored, ok := progress[prefixProgress+j.ID]; ok {
-			if err := json.Unmarshal(stored.Value, &p); err != nil {
-				return fmt.Errorf("decode progress record %s: %w", stored.Key, err)
-			}
+// storedRecords holds the records that earlier owners stored, by key.
+type storedRecords struct {
+	jobs, progress, waves map[string]core.Item
+	orders                core.Item
+}
+
+// loadRecords loads records into a kernel. A record that cannot be read is skipped and
+// logged: it would stop each new owner in turn.
+func loadRecords(k *cell.Kernel, r storedRecords, log *eventlog.Log) {
+	for key, item := range r.jobs {
+		id := strings.TrimPrefix(key, prefixJob)
+		j, p, err := decodeJob(id, item, r.progress[prefixProgress+id])
+		if err != nil {
+			log.Event(event.RecordSkipped, zap.String("key", key), zap.Error(err))
+			k.LoadUnreadableJob(id)
+			continue
 		}
-		k.LoadJob(&j, p)
+		k.LoadJob(j, p)
 	}
-	for key, item := range waves {
-		number, err := strconv.Atoi(strings.TrimPrefix(key, prefixWave))
-		if err != nil {
-			return fmt.Errorf("parse wave number of key %s: %w", key, err)
+	for key, item := range r.waves {
+		if err := loadWave(k, key, item); err != nil {
+			// Its VMs are ordered again, which the platform confirms.
+			log.Event(event.RecordSkipped, zap.String("key", key), zap.Error(err))
 		}
-		var p cell.WaveProgress
-		if err := json.Unmarshal(item.Value, &p); err != nil {
-			return fmt.Errorf("decode wave record %s: %w", key, err)
+	}
+	if len(r.orders.Value) == 0 {
+		return
+	}
+	var orders cell.VMOrdersList
+	if err := json.Unmarshal(r.orders.Value, &orders); err != nil {
+		log.Event(event.RecordSkipped, zap.String("key", keyOrders), zap.Error(err))
+		k.LoadUnreadableVMOrders()
+		return
+	}
+	k.LoadVMOrders(orders)
+}
+
+// decodeJob decodes and checks a job and its progress; progress has no value if nothing
+// is stored.
+func decodeJob(id string, item, progress core.Item) (*job.Job, job.Progress, error) {
+	p := job.Progress{State: job.Pending}
+	if len(progress.Value) > 0 {
+		if err := json.Unmarshal(progress.Value, &p); err != nil {
+			return nil, p, fmt.Errorf("decode progress record %s: %w", progress.Key, err)
 		}
-		k.LoadWave(number, p)
 	}
-	if len(orders.Value) > 0 {
-		var r cell.VMOrdersList
-		if err := json.Unmarshal(orders.Value, &r); err != nil {
-			return fmt.Errorf("decode VM order record %s: %w", keyOrders, err)
+	var j job.Job
+	err := json.Unmarshal(item.Value, &j)
+	switch {
+	case p.State.IsFinal() && (err != nil || j.ID != id):
+		// Its state is all that is still needed.
+		return &job.Job{ID: id}, p, nil
+	case err != nil:
+		return nil, p, fmt.Errorf("decode job record %s: %w", item.Key, err)
+	case j.ID != id:
+		return nil, p, fmt.Errorf("decode job record %s: it holds job %q", item.Key, j.ID)
+	case !p.State.IsFinal():
+		if err := j.Check(); err != nil {
+			return nil, p, fmt.Errorf("check job record %s: %w", item.Key, err)
 		}
-		k.LoadVMOrders(r)
 	}
+	return &j, p, nil
+}
+
+// loadWave loads the record of a wave into a kernel.
+func loadWave(k *cell.Kernel, key string, item core.Item) error {
+	number, err := strconv.Atoi(strings.TrimPrefix(key, prefixWave))
+	if err != nil {
+		return fmt.Errorf("parse wave number of key %s: %w", key, err)
+	}
+	var p cell.WaveProgress
+	if err := json.Unmarshal(item.Value, &p); err != nil {
+		return fmt.Errorf("decode wave record %s: %w", key, err)
+	}
+	k.LoadWave(number, p)
 	return nil
 }
 
 // loadKernel reads all stored records, several kinds at a time, and loads them into a
 // kernel.
-func loadKernel(ctx context.Context, store core.MetadataStore, k *cell.Kernel) error {
-	var jobs, progress, waves map[string]core.Item
-	var orders core.Item
+func loadKernel(ctx context.Context, store core.MetadataStore, k *cell.Kernel, log *eventlog.Log) error {
+	var r storedRecords
 	reads := []func() error{
-		func() (err error) { jobs, _, err = readPrefix(ctx, store, prefixJob); return err },
-		func() (err error) { progress, _, err = readPrefix(ctx, store, prefixProgress); return err },
-		func() (err error) { waves, _, err = readPrefix(ctx, store, prefixWave); return err },
+		func() (err error) { r.jobs, _, err = readPrefix(ctx, store, prefixJob); return err },
+		func() (err error) { r.progress, _, err = readPrefix(ctx, store, prefixProgress); return err },
+		func() (err error) { r.waves, _, err = readPrefix(ctx, store, prefixWave); return err },
 		func() (err error) {
-			if orders, err = store.Get(ctx, keyOrders); errors.Is(err, core.ErrNotFound) {
+			if r.orders, err = store.Get(ctx, keyOrders); errors.Is(err, core.ErrNotFound) {
 				return nil
 			}
 			return err
@@ -78,5 +123,6 @@
 	if failed != nil {
 		return failed
 	}
-	return loadRecords(k, jobs, progress, waves, orders)
+	loadRecords(k, r, log)
+	return nil
 }
--- a/edge/owner.go
+++ b/edge/owner.go
@@ -245,7 +245,7 @@
 	go func() { renewedUntil <- o.renewWhileLoading(loading, claim) }()
 	w, err := newWriter(loading, o.store, o.codec, o.log, claim.token, claim.sequence.Generation)
 	if err == nil {
-		err = loadKernel(loading, o.store, k)
+		err = loadKernel(loading, o.store, k, o.log)
 	}
 	cancel()
 	until := <-renewedUntil
