Do not pass a request that broke an owner to the next one

Callers would see: no owner for a second after each such request, which comes again through every node until its caller gives up. An owner that failed on a request answered that it does not own the pools, and the node passed the request on to the next owner. A job from another node was not checked again before the kernel took it. Change: the verdict 'faulty' ends the request: 400 for a submission, which is not stored and never runs, 500 for a cancel. Jobs of peers are checked like those of callers. Ruled out: to answer 503: the caller repeats it. Evidence: TestUncheckedJobOfPeerReachesKernel hung on the code before, as the kernel took the job; it has a limit of a second now.

--- a/core/event/platform.go
+++ b/core/event/platform.go
@@ -100,7 +100,7 @@
 		WaveSucceeded:         "all VMs of a wave have had their maintenance",
 		PoolPlanned:           "the VMs of a pool compared with the need of its work",
 		RecoveryEnded:         "recovery ended: no order of an earlier owner can still take effect unnoticed",
-		SubmissionRefused:     "a submission was refused because no owner could be reached",
+		SubmissionRefused:     "a submission was refused because no owner could be reached or could process it",
 		SubmissionUncertain:   "it is not known whether a submission was accepted",
 		StateUnknown:          "a job's state could be read neither from the owner nor from the store",
 		CancelUncertain:       "it is not known whether a job was cancelled",
--- a/edge/front.go
+++ b/edge/front.go
@@ -168,6 +168,9 @@
 		http.Error(w, "it is not known whether the job was accepted", http.StatusGatewayTimeout)
 	case a.Verdict == cell.Accepted:
 		w.WriteHeader(http.StatusOK)
+	case a.Verdict == verdictFaulty:
+		p.log.Event(event.SubmissionRefused, zap.String("job", id), zap.String("reason", a.Reason))
+		http.Error(w, a.Reason, http.StatusBadRequest)
 	case a.Verdict == cell.NotFound:
 		// The owner reads the configuration independently and may still have an older
 		// one.
@@ -219,6 +222,9 @@
 		http.Error(w, "it is not known whether the job was cancelled", http.StatusGatewayTimeout)
 	case a.Verdict == cell.JobEnded:
 		w.WriteHeader(http.StatusOK)
+	case a.Verdict == verdictFaulty:
+		p.log.Event(event.CancelUncertain, zap.String("job", id), zap.String("reason", a.Reason))
+		http.Error(w, a.Reason, http.StatusInternalServerError)
 	case a.LeaseProved:
 		http.Error(w, "no such job", http.StatusGone)
 	default:
--- a/edge/host.go
+++ b/edge/host.go
@@ -89,6 +89,10 @@
 // verdictNotOwner is the verdict of a node that does not own the pools.
 const verdictNotOwner cell.Verdict = "elsewhere"
 
+// verdictFaulty is the verdict on a request that an owner cannot process; it has no
+// effect, and no other owner could process it.
+const verdictFaulty cell.Verdict = "faulty"
+
 // scheduledTick is a tick of the host's own timers.
 type scheduledTick struct{ due time.Time }
 
@@ -167,7 +171,7 @@
 // state cannot be relied on, so the pools are handed over to another node.
 func (h *host) receive(c actor.Context) {
 	if h.broken {
-		h.refuse(c.Message())
+		h.refuse(c.Message(), verdictNotOwner)
 		return
 	}
 	err := guard(h.log, "decide", func() error {
@@ -176,17 +180,17 @@
 	})
 	if err != nil {
 		h.broken = true
-		h.refuse(c.Message())
+		h.refuse(c.Message(), verdictFaulty)
 		go h.onDeposed(err.Error())
 	}
 }
 
-// refuse answers a message that is not processed.
-func (h *host) refuse(message any) {
+// refuse answers a message that is not processed with a verdict.
+func (h *host) refuse(message any, v cell.Verdict) {
 	switch m := message.(type) {
 	case submission:
 		select {
-		case m.answer <- cell.Answer{Verdict: verdictNotOwner}:
+		case m.answer <- cell.Answer{Verdict: v, Reason: "the request cannot be processed"}:
 		default:
 		}
 	case inspection:
--- a/edge/owner_call.go
+++ b/edge/owner_call.go
@@ -65,6 +65,10 @@
 		if call.Job == nil {
 			return a, fmt.Errorf("a submission without a job")
 		}
+		if err := call.Job.Check(); err != nil {
+			a.Verdict, a.Reason = verdictFaulty, err.Error()
+			return a, nil
+		}
 		var left time.Duration
 		if deadline, ok := ctx.Deadline(); ok {
 			left = max(time.Until(deadline), time.Nanosecond)
--- a/edge/owner_test.go
+++ b/edge/owner_test.go
@@ -1,12 +1,15 @@
 package edge
 
 import (
+	"context"
 	"errors"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"jacinthwind/core"
+	"jacinthwind/core/job"
 )
 
 // TestRefusedClaimReturnsTokenOfEarlierAttempt checks that a refused claim counts
@@ -29,3 +32,17 @@
 		})
 	}
 }
+
+// TestUncheckedJobOfPeerReachesKernel guards against a job that another build of a node
+// passes on and that the kernel cannot handle.
+func TestUncheckedJobOfPeerReachesKernel(t *testing.T) {
+	h, deposed := newTestHost(t)
+	p := &Process{ownership: &ownership{host: h}}
+	bad := &job.Job{ID: "0000000000000001", Steps: []job.Step{{Count: 1, After: []int{4}}}}
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	a, err := p.handleOwner(ctx, ownerCall{Kind: callSubmit, Job: bad})
+	require.NoError(t, err)
+	require.Equal(t, verdictFaulty, a.Verdict)
+	require.Empty(t, deposed)
+}
