Give a task more time each time it is stopped as a straggler

Callers would see: a job whose task takes far longer than its estimate and reports progress seldom never ends, and executors are out of use one by one. A run without progress for 0.9 s was stopped and its executor avoided for 4 s, wherever it ran, however often. Change: the time without progress, and the gain that a restart must promise, double with each stop as a straggler; from the second on the executor is not avoided. Ruled out: a fixed number of restarts: a task may meet several slow executors. Evidence: TestSlowTaskIsRestartedWithoutEnd failed before ('running' after 200 s) and passes.

--- a/core/cell/executors.go
+++ b/core/cell/executors.go
@@ -18,6 +18,9 @@
 	// executor gets no new work for failureAvoidance.
 	failureThreshold = 2
 	failureAvoidance = 4 * time.Second
+	// ownFaultAfter is how often in a row a task may straggle, or fail soon after its
+	// start, until that is charged to the task and no longer to its executors.
+	ownFaultAfter = 1
 	// refusalAvoidance is the longest time that an executor gets no new work because it
 	// refused an order.
 	refusalAvoidance = time.Second
--- a/core/cell/fake_executor_test.go
+++ b/core/cell/fake_executor_test.go
@@ -111,6 +111,9 @@
 	}
 	took, end := w.taskTime(o.Task, o.Run)
 	x.runs[o.Task] = &fakeRun{task: o.Task, run: o.Run, size: step.ReservedSize(), startAt: w.now, endAt: w.now + took, end: end, service: step.Service}
+	if step.Service && w.failServices(o.Task) {
+		x.runs[o.Task].service, x.runs[o.Task].end, x.runs[o.Task].endAt = false, fleet.EndFailed, w.now+10*time.Millisecond
+	}
 	w.starts[o.Task]++
 	if d := w.crashAfter(o.Task); d > 0 {
 		w.runAfter(d, func() { w.crashUnder(x, o.Task) })
--- /dev/null
+++ b/core/cell/repeat_test.go
@@ -0,0 +1,40 @@
+package cell_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"jacinthwind/core/fleet"
+	"jacinthwind/core/job"
+)
+
+// unusableExecutors counts the executors that get no new work.
+func (w *world) unusableExecutors() int {
+	n := 0
+	for _, x := range w.kernel.Dump(w.clock()).Executors {
+		if !x.Usable {
+			n++
+		}
+	}
+	return n
+}
+
+// TestSlowTaskIsRestartedWithoutEnd guards against a task that takes far longer than its
+// estimate, reports progress seldom, and is stopped as a straggler wherever it runs.
+func TestSlowTaskIsRestartedWithoutEnd(t *testing.T) {
+	w := newWorld(t, 4)
+	w.advance(time.Second)
+	slow := simpleJob(1, 1, 500)
+	w.taskTime = func(string, int) (time.Duration, fleet.RunEnd) { return 150 * time.Second, fleet.EndDone }
+	w.submitJob(slow)
+	mostUnusable := 0
+	for range 200 {
+		w.advance(time.Second)
+		mostUnusable = max(mostUnusable, w.unusableExecutors())
+	}
+	require.Equal(t, job.Succeeded, w.jobState(slow.ID))
+	require.LessOrEqual(t, w.starts[slow.ID+".0.0.0"], 3)
+	require.LessOrEqual(t, mostUnusable, 2)
+}
--- a/core/cell/state.go
+++ b/core/cell/state.go
@@ -93,8 +93,11 @@
 	// know, on an executor that has not answered it or by order of a later owner.
 	uncertain    bool
 	lastFailedOn string
-	retryAt      time.Duration
-	currentRun   *run
+	// straggled counts how often the task was stopped as a straggler, and promptFailures
+	// how often in a row a service task failed soon after its start.
+	straggled, promptFailures int
+	retryAt                   time.Duration
+	currentRun                *run
 	// crashes holds the crashes of executors under the task. The task does not start
 	// again before the write crashesWrite has stored it, or until crashHoldUntil.
 	crashes        suspicion.Record
--- a/core/cell/straggler.go
+++ b/core/cell/straggler.go
@@ -22,6 +22,9 @@
 	// restartGainPercent is the time left for a run, as a percentage of the time that
 	// a new run takes, above which a restart pays off.
 	restartGainPercent = 150
+	// maxPatience limits how often the time that a task gets is doubled, once each time
+	// it is stopped as a straggler: a task may be slow wherever it runs.
+	maxPatience = 8
 )
 
 // stopStragglers stops runs that make no progress, and runs on a slow executor that
@@ -33,7 +36,7 @@
 		if r.state != runActive || r.step.Service || r.step.BestEffort || r.step.Gang || r.step.EstimateMs <= 0 || r.firstReportAt == 0 {
 			continue
 		}
-		if k.now.Monotonic >= r.progressedAt+stallTimeout {
+		if k.now.Monotonic >= r.progressedAt+stallTimeout<<min(r.task().straggled, maxPatience) {
 			stalled = append(stalled, r)
 			continue
 		}
@@ -55,8 +58,12 @@
 	if len(stalled)+len(slow) == 0 {
 		return
 	}
-	x.avoidUntil = max(x.avoidUntil, k.now.Monotonic+failureAvoidance)
 	for _, r := range append(stalled, slow...) {
+		t := r.task()
+		if t.straggled < ownFaultAfter {
+			x.avoidUntil = max(x.avoidUntil, k.now.Monotonic+failureAvoidance)
+		}
+		t.straggled++
 		k.log(event.RunStraggles, "task", r.name, "run", r.number, "executor", x.ID, "percent", r.percent,
 			"unchanged_ms", (k.now.Monotonic - r.progressedAt).Milliseconds(), "estimate_ms", r.step.EstimateMs)
 		k.stopRun(r)
@@ -68,5 +75,5 @@
 func (k *Kernel) isFasterElsewhere(r *run, speed int64) bool {
 	left := int64(100-r.percent) * r.step.EstimateMs / max(speed, 1)
 	restart := r.step.EstimateMs + k.MaxStopDuration.Milliseconds()
-	return left*100 > restart*restartGainPercent
+	return left*100 > restart*restartGainPercent<<min(r.task().straggled, maxPatience)
 }
--- a/core/cell/world_test.go
+++ b/core/cell/world_test.go
@@ -87,6 +87,8 @@
 	// does not. crashedUnder counts the executors that it crashed, by task.
 	crashAfter   func(task string) time.Duration
 	crashedUnder map[string]int
+	// failServices reports whether a service task fails as soon as it has started.
+	failServices func(task string) bool
 	// refuseStarts reports whether an executor refuses a start for want of capacity.
 	refuseStarts func() bool
 	// decisionTime is the real time that the kernels have taken.
@@ -173,6 +175,7 @@
 		acknowledged: map[string]bool{}, starts: map[string]int{},
 		throttlePercents: map[string]int{}, maintainedVMs: map[string]bool{}, moveOrdered: map[string]bool{}, maintenanceOrdered: map[string]bool{}, lastOrder: map[string]vmOrdered{},
 		crashedUnder:  map[string]int{},
+		failServices:  func(string) bool { return false },
 		refuseStarts:  func() bool { return false },
 		crashAfter:    func(string) time.Duration { return 0 },
 		taskTime:      func(string, int) (time.Duration, fleet.RunEnd) { return 500 * time.Millisecond, fleet.EndDone },
