Charge the prompt failures of a service task to the task

Callers would see: executors without new work, the whole pool at times, while one service task fails at once wherever it starts. Each failure of a service task counted against its executor, two took it out of use for 4 s, and the pause before the next start was always the shortest, since only the last failure is kept. Change: failures within two seconds of the start, in a row, double the pause up to a second, and from the second on count against the task alone. Ruled out: giving the task up: tasks that last may fail without limit. Evidence: TestFailingServiceTaskIsRestartedWithoutPause found all four executors out of use before, and allows one.

--- a/core/cell/repeat_test.go
+++ b/core/cell/repeat_test.go
@@ -38,3 +38,22 @@
 	require.LessOrEqual(t, w.starts[slow.ID+".0.0.0"], 3)
 	require.LessOrEqual(t, mostUnusable, 2)
 }
+
+// TestFailingServiceTaskIsRestartedWithoutPause guards against a service task that fails
+// at once wherever it starts, and takes executor after executor out of use.
+func TestFailingServiceTaskIsRestartedWithoutPause(t *testing.T) {
+	w := newWorld(t, 4)
+	w.advance(time.Second)
+	service := simpleJob(1, 1, 500)
+	service.Steps[0].Service = true
+	w.failServices = func(task string) bool { return task[:16] == service.ID }
+	w.submitJob(service)
+	mostUnusable := 0
+	for range 100 {
+		w.advance(100 * time.Millisecond)
+		mostUnusable = max(mostUnusable, w.unusableExecutors())
+	}
+	// Pauses of 50 ms, doubled up to a second.
+	require.LessOrEqual(t, w.starts[service.ID+".0.0.0"], 16)
+	require.LessOrEqual(t, mostUnusable, 1)
+}
--- a/core/cell/runs.go
+++ b/core/cell/runs.go
@@ -153,6 +153,9 @@
 		return
 	}
 	t.currentRun = nil
+	if suspicion.IsInnocent(k.now.Monotonic - r.startedAt()) {
+		t.promptFailures = 0
+	}
 	k.applyRunEnd(r.step, r.index, x, e)
 }
 
@@ -343,13 +346,18 @@
 // task has used up its attempts.
 func (k *Kernel) handleTaskFailure(s *stepRun, index int, x *executor, run int) {
 	t := &s.tasks[index]
+	failures := len(t.failedRuns)
 	if s.Service {
-		// Service tasks may fail without limit; only the last failure sets the backoff.
-		t.failedRuns = nil
+		// Service tasks may fail without limit. Only the last failure is kept, and those
+		// soon after the start set the backoff.
+		t.failedRuns, failures = nil, t.promptFailures
+		t.promptFailures++
 	}
 	t.failedRuns = append(t.failedRuns, run)
 	if x != nil {
 		t.lastFailedOn = x.ID
+	}
+	if x != nil && t.promptFailures <= ownFaultAfter {
 		x.failureStreak++
 		if x.failureStreak >= failureThreshold {
 			x.avoidUntil = k.now.Monotonic + failureAvoidance
@@ -361,7 +369,7 @@
 		k.failJob(s, index)
 		return
 	}
-	backoff := min(minFailureBackoff<<min(len(t.failedRuns)-1, 5), maxFailureBackoff)
+	backoff := min(minFailureBackoff<<min(failures, 5), maxFailureBackoff)
 	t.retryAt = k.now.Monotonic + backoff
 	k.requeueTask(s, index)
 }
