Isolate runs only on executors that have just answered

Callers would see: a job given up whose task was started on an executor that had crashed long before. Cause: an idle executor is asked every two seconds, so an isolated start could go to one that was gone already; that counted as a crash under the task. Change: a run starts in isolation on an executor that has answered within 200 ms; one that is closed for isolation is asked every 80 ms until it does. Ruled out: to ask idle executors more often: each question is priced. A replaced executor is no longer restarted by the test's own clean-up as well.

--- a/core/cell/crash.go
+++ b/core/cell/crash.go
@@ -16,7 +16,10 @@
 	crashHoldLimit = 1500 * time.Millisecond
 	// isolationCloseTime is how long an executor gets no new work so that its runs
 	// settle and one can start in isolation.
-	isolationCloseTime = 600 * time.Millisecond
+	isolationCloseTime = 1200 * time.Millisecond
+	// recentAnswer is how recently an executor must have answered for a run to start there
+	// in isolation: one that was lost before says nothing of the run.
+	recentAnswer = 200 * time.Millisecond
 	// maxClosedDivisor gives the part of a pool that may be closed for isolated runs.
 	maxClosedDivisor = 2
 	// togetherWindow is how far apart executors that are lost for one reason fall silent.
@@ -134,9 +137,9 @@
 }
 
 // canIsolate reports whether a crash of the executor would show what a run does that
-// starts now: the executor has survived all its other runs.
+// starts now: the executor has just answered and has survived all its other runs.
 func (k *Kernel) canIsolate(x *executor) bool {
-	if x.isolatedRuns > 0 {
+	if x.isolatedRuns > 0 || k.now.Monotonic > x.lastAnswerAt+recentAnswer {
 		return false
 	}
 	for _, r := range x.runs {
@@ -200,7 +203,6 @@
 	}
 	if best != nil && closed < max(len(free)/maxClosedDivisor, 1) {
 		best.closedUntil = k.now.Monotonic + isolationCloseTime
-		best.renewalEndedAt = min(best.renewalEndedAt, k.now.Monotonic-isolationRenewalInterval)
 	}
 }
 
--- a/core/cell/crash_test.go
+++ b/core/cell/crash_test.go
@@ -73,6 +73,50 @@
 	}
 }
 
+// TestGangThatCrashesExecutorsIsStartedWithoutEnd guards against the same for a task whose
+// gang ends with each crash and starts again as a whole.
+func TestGangThatCrashesExecutorsIsStartedWithoutEnd(t *testing.T) {
+	w := newWorld(t, 8)
+	w.advance(time.Second)
+	deadly := simpleJob(1, 3, 5000)
+	deadly.Steps[0].Gang = true
+	w.crashOnStart(20*time.Millisecond, deadly.ID)
+	ids := w.submitSteadily(60, deadly)
+	w.advance(15 * time.Second)
+	w.requireGivenUp(t, deadly.ID)
+	for _, id := range ids {
+		require.Contains(t, []job.State{job.Succeeded, ""}, w.jobState(id), "job %s ran beside the cause", id)
+	}
+}
+
+// TestServiceThatCrashesExecutorsIsStartedWithoutEnd guards against the same for a task
+// that lasts, beside others that last.
+func TestServiceThatCrashesExecutorsIsStartedWithoutEnd(t *testing.T) {
+	w := newWorld(t, 8)
+	w.advance(time.Second)
+	beside, deadly := simpleJob(2, 12, 500), simpleJob(1, 3, 500)
+	beside.Steps[0].Service, deadly.Steps[0].Service = true, true
+	w.submitJob(beside)
+	w.advance(3 * time.Second)
+	w.crashOnStart(20*time.Millisecond, deadly.ID)
+	ids := w.submitSteadily(60, deadly)
+	w.advance(15 * time.Second)
+	w.requireGivenUp(t, deadly.ID)
+	require.Equal(t, job.Running, w.jobState(beside.ID))
+	running := 0
+	for _, x := range w.executors {
+		for _, r := range x.runs {
+			if r.service {
+				running++
+			}
+		}
+	}
+	require.Equal(t, 12, running)
+	for _, id := range ids {
+		require.Contains(t, []job.State{job.Succeeded, ""}, w.jobState(id), "job %s ran beside the cause", id)
+	}
+}
+
 // TestCrashesAreForgottenWithTheirOwner guards against an owner that counts the crashes
 // under a task from the beginning.
 func TestCrashesAreForgottenWithTheirOwner(t *testing.T) {
--- a/core/cell/fake_executor_test.go
+++ b/core/cell/fake_executor_test.go
@@ -51,6 +51,8 @@
 	// unreachableFor holds the owners that cannot reach the executor.
 	unreachableFor map[*cell.Kernel]bool
 	down           bool
+	// replacing is true if another executor is about to start on the VM.
+	replacing bool
 }
 
 // endRun ends a run and lists its end.
--- a/core/cell/renewal.go
+++ b/core/cell/renewal.go
@@ -20,8 +20,8 @@
 	// stored.
 	unackedRenewalInterval = 250 * time.Millisecond
 	missedRenewalInterval  = 300 * time.Millisecond
-	// isolationRenewalInterval is the time between renewals of an executor on which a
-	// run is isolated.
+	// isolationRenewalInterval is the time between renewals of an executor that is closed
+	// for an isolated run.
 	isolationRenewalInterval = 80 * time.Millisecond
 	// idleRenewalInterval is the time between renewals of an executor without runs.
 	// Each renewal has a price, and if an idle executor is silent unnoticed, the next
@@ -35,7 +35,7 @@
 		if x.renewing {
 			continue
 		}
-		interval, wait := renewalInterval(x)
+		interval, wait := k.renewalInterval(x)
 		if x.renewalEndedAt != 0 && k.now.Monotonic < x.renewalEndedAt+interval {
 			continue
 		}
@@ -66,13 +66,13 @@
 
 // renewalInterval returns the time between two renewals of an executor, and how long it
 // may wait for a run to end before it answers.
-func renewalInterval(x *executor) (interval time.Duration, waitMs int64) {
+func (k *Kernel) renewalInterval(x *executor) (interval time.Duration, waitMs int64) {
 	switch {
 	case x.misses > 0:
 		return missedRenewalInterval, 0
 	case !x.fenced:
 		return 0, 0
-	case x.isolatedRuns > 0:
+	case k.isClosed(x):
 		return isolationRenewalInterval, 0
 	case x.seenEnd > x.ackedEnd:
 		return unackedRenewalInterval, 0
--- a/core/cell/world_test.go
+++ b/core/cell/world_test.go
@@ -87,6 +87,8 @@
 	// does not. crashedUnder counts the executors that it crashed, by task.
 	crashAfter   func(task string) time.Duration
 	crashedUnder map[string]int
+	// lostUnder counts the executors that were lost with a run of the task, by task.
+	lostUnder map[string]int
 	// failServices reports whether a service task fails as soon as it has started.
 	failServices func(task string) bool
 	// refuseStarts reports whether an executor refuses a start for want of capacity.
@@ -174,6 +176,7 @@
 		stored: map[string]job.Progress{}, accepted: map[string]bool{}, verdicts: map[cell.CallID]cell.Answer{},
 		acknowledged: map[string]bool{}, starts: map[string]int{},
 		throttlePercents: map[string]int{}, maintainedVMs: map[string]bool{}, moveOrdered: map[string]bool{}, maintenanceOrdered: map[string]bool{}, lastOrder: map[string]vmOrdered{},
+		lostUnder:     map[string]int{},
 		crashedUnder:  map[string]int{},
 		failServices:  func(string) bool { return false },
 		refuseStarts:  func() bool { return false },
@@ -247,6 +250,9 @@
 // crash ends an executor with all its state; it is not listed until it restarts.
 func (w *world) crash(x *fakeExecutor) {
 	x.down = true
+	for task := range x.runs {
+		w.lostUnder[task]++
+	}
 	clear(x.runs)
 	clear(x.highestEndedRun)
 	x.ended, x.lastEnd, x.ackedEnd, x.voidedEnd, x.token, x.deadline = nil, 0, 0, 0, 0, 0
@@ -264,13 +270,27 @@
 	}
 	w.crashedUnder[task]++
 	w.crashAndReplace(x)
+	id, err := job.ParseTaskID(task)
+	require.NoError(w.t, err)
+	if !w.specs[id.Job].Steps[id.Step].Gang {
+		return
+	}
+	for _, other := range w.executors {
+		for _, r := range other.runs {
+			if member, err := job.ParseTaskID(r.task); err == nil && member.Job == id.Job && member.Step == id.Step {
+				other.endRun(r, fleet.EndGangBroken)
+			}
+		}
+	}
 }
 
 // crashAndReplace crashes an executor; another one starts on the VM.
 func (w *world) crashAndReplace(x *fakeExecutor) {
 	w.crash(x)
+	x.replacing = true
 	w.runAfter(rebootDuration, func() {
 		next := *x
+		next.replacing = false
 		next.ID = fmt.Sprintf("%s-%d", x.Address, w.now.Milliseconds())
 		next.down, next.StartedMs, next.bootedAt = false, w.now.Milliseconds(), w.now
 		next.runs, next.highestEndedRun = map[string]*fakeRun{}, map[string]int{}
