Send what is too large for one message of a link in parts

Callers would see: requests on a node without an answer, and executors silent, over and over, after one job that is too large. A message above 8 MB ended the link, with all orders under way on it; the node linked again and sent the same request again. Many requests or orders that wait together are also one message. Change: Send refuses what the peer would not read. Both ends divide a message that is too large; a single request that is too large is answered as one that no owner can process. Ruled out: a lower limit on bodies alone: it says nothing of many together. Evidence: TestLargeRequestEndsEachLink and TestOrdersTooLargeForOneMessageEndEachLink failed before ('link ended', no report within 10 s) and pass.

--- a/common/jsonstream/stream.go
+++ b/common/jsonstream/stream.go
@@ -161,12 +161,16 @@
 	return newStream(received, write, abort, o.Silence), nil
 }
 
-// Send sends a message.
+// Send sends a message. One that is too large for the peer is not sent, leaves the stream
+// usable and gives a *SizeError.
 func (s *Stream) Send(v any) error {
 	line, err := json.Marshal(v)
 	if err != nil {
 		return fmt.Errorf("encode message %T: %w", v, err)
 	}
+	if len(line)+1 >= jsonhttp.MaxMessageBytes {
+		return &SizeError{Bytes: len(line)}
+	}
 	return s.write(append(line, '\n'))
 }
 
@@ -204,3 +208,11 @@
 
 // Unwrap returns the decoder's error.
 func (e *DecodeError) Unwrap() error { return e.Err }
+
+// SizeError reports a message that is too large.
+type SizeError struct{ Bytes int }
+
+// Error returns the size of the message and the limit, in bytes.
+func (e *SizeError) Error() string {
+	return fmt.Sprintf("message has %d bytes, at most %d", e.Bytes, jsonhttp.MaxMessageBytes)
+}
--- a/edge/link_test.go
+++ b/edge/link_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"jacinthwind/common/eventlog"
+	"jacinthwind/common/jsonhttp"
 	"jacinthwind/common/jsonstream"
 	"jacinthwind/core/cell"
 	"jacinthwind/core/fleet"
@@ -322,3 +323,45 @@
 		require.Less(t, monotonicNow()-m.echo, 700*time.Millisecond)
 	}
 }
+
+// TestLargeRequestEndsEachLink guards against a request that is too large for a message
+// and ends link after link, with all orders under way, since it is sent again on each.
+func TestLargeRequestEndsEachLink(t *testing.T) {
+	p := newLinkPair(t, echoCall)
+	p.attach()
+	p.awaitLink()
+	large := strings.Repeat("x", jsonhttp.MaxMessageBytes)
+	a, err := p.node.call(t.Context(), ownerCall{Kind: callDepth, Name: large})
+	require.NoError(t, err)
+	require.Equal(t, verdictFaulty, a.Verdict)
+	// Requests that are too large only together are sent one after the other.
+	third := large[:jsonhttp.MaxMessageBytes/3]
+	lengths := make(chan int, 6)
+	for range cap(lengths) {
+		go func() {
+			a, _ := p.node.call(t.Context(), ownerCall{Kind: callDepth, Name: third})
+			lengths <- a.Depth
+		}()
+	}
+	for range cap(lengths) {
+		require.Equal(t, len(third), <-lengths)
+	}
+	require.Empty(t, p.ended, "the link ended")
+}
+
+// TestOrdersTooLargeForOneMessageEndEachLink guards against the same in the direction of
+// the carriers.
+func TestOrdersTooLargeForOneMessageEndEachLink(t *testing.T) {
+	p := newLinkPair(t, echoCall)
+	p.attach()
+	l := p.awaitLink()
+	spec := strings.Repeat("x", jsonhttp.MaxMessageBytes/1000)
+	for i := range 1500 {
+		l.addOrder(carriedOrder{ID: int64(i + 1), SentMs: monotonicNow().Milliseconds(), Start: &fleet.StartOrder{Executor: "e1", Spec: spec}})
+	}
+	l.signal()
+	for reports := 0; reports < 1500; {
+		reports += len(awaitMessage(p, func(m linkRead) bool { return len(m.reports) > 0 }).reports)
+	}
+	require.Empty(t, p.ended, "the link ended")
+}
--- a/edge/node_link.go
+++ b/edge/node_link.go
@@ -16,6 +16,7 @@
 	"jacinthwind/common/jsonstream"
 	"jacinthwind/core"
 	"jacinthwind/core/carrier"
+	"jacinthwind/core/cell"
 	"jacinthwind/core/event"
 	"jacinthwind/core/fleet"
 )
@@ -233,7 +234,7 @@
 		case <-t.C:
 		}
 		m, next := l.take()
-		if l.stream.Send(m) != nil {
+		if l.sendParts(m) != nil {
 			l.stream.Close()
 			return
 		}
@@ -241,6 +242,51 @@
 	}
 }
 
+// sendParts sends a message, in parts if it is too large. A request that is too large by
+// itself is answered here, and such a report is dropped: its executor reports again.
+func (l *nodeLink) sendParts(m nodeMessage) error {
+	err := l.stream.Send(m)
+	var size *jsonstream.SizeError
+	if !errors.As(err, &size) {
+		return err
+	}
+	if len(m.Calls)+len(m.Reports) > 1 {
+		rest := m
+		if len(m.Reports) > 0 && len(m.Calls) > 0 {
+			m.Reports, rest.Calls = nil, nil
+		} else {
+			m.Calls, rest.Calls = halves(m.Calls)
+			m.Reports, rest.Reports = halves(m.Reports)
+		}
+		if err := l.sendParts(m); err != nil {
+			return err
+		}
+		return l.sendParts(rest)
+	}
+	l.log.Event(event.LinkFault, zap.String("peer", "owner"), zap.Error(err))
+	for _, c := range m.Calls {
+		l.mu.Lock()
+		answer := l.calls[c.ID]
+		delete(l.calls, c.ID)
+		l.mu.Unlock()
+		if answer != nil {
+			answer <- linkAnswer{ID: c.ID, ownerAnswer: ownerAnswer{Answer: cell.Answer{Verdict: verdictFaulty, Reason: err.Error()}}}
+		}
+	}
+	for _, r := range m.Reports {
+		l.mu.Lock()
+		l.addReport(unknownReport(r.ID))
+		l.mu.Unlock()
+	}
+	return nil
+}
+
+// halves divides a list into two parts.
+func halves[T any](list []T) (first, rest []T) {
+	n := (len(list) + 1) / 2
+	return list[:n], list[n:]
+}
+
 // call passes a caller's request to the owner, once it serves, and waits for the
 // answer. An owner that still reads the stored records is not sent any requests: they
 // would only delay it.
--- a/edge/owner_link.go
+++ b/edge/owner_link.go
@@ -337,9 +337,33 @@
 		case <-t.C:
 		}
 		m, ok := l.take()
-		if !ok || stream.Send(m) != nil {
+		if !ok || l.sendParts(stream, m) != nil {
 			return
 		}
 		t.Reset(l.heartbeat())
 	}
 }
+
+// sendParts sends a message, in parts if it is too large. An answer or an order that is too
+// large by itself is dropped; the order's executor then counts as silent.
+func (l *ownerLink) sendParts(stream *jsonstream.Stream, m ownerMessage) error {
+	err := stream.Send(m)
+	var size *jsonstream.SizeError
+	if !errors.As(err, &size) {
+		return err
+	}
+	if len(m.Answers)+len(m.Orders) <= 1 {
+		return nil
+	}
+	rest := m
+	if len(m.Answers) > 0 && len(m.Orders) > 0 {
+		m.Orders, rest.Answers = nil, nil
+	} else {
+		m.Answers, rest.Answers = halves(m.Answers)
+		m.Orders, rest.Orders = halves(m.Orders)
+	}
+	if err := l.sendParts(stream, m); err != nil {
+		return err
+	}
+	return l.sendParts(stream, rest)
+}
