Look for isolated runs only where there are suspects

Cause: a decision became slower with the suspicion of tasks: every renewal walked the runs of its executor, and every executor was asked whether it is closed before whether the task fits. Change: executors know whether they run suspects; room is checked first. Ruled out: the larger task record.

--- a/core/cell/crash.go
+++ b/core/cell/crash.go
@@ -209,11 +209,16 @@
 // endIsolation opens an executor to new work once it has survived its isolated runs for
 // long enough, and ends the suspicion against runs that it has survived for longer.
 func (k *Kernel) endIsolation(x *executor) {
+	if !x.hasSuspects {
+		return
+	}
+	x.hasSuspects = false
 	for _, r := range sortedRuns(x) {
 		t := r.task()
 		if t.currentRun != r || t.crashes == (suspicion.Record{}) {
 			continue
 		}
+		x.hasSuspects = true
 		if r.isolated && r.state == runActive && r.survived() >= t.crashes.Observation() {
 			r.isolated = false
 			x.isolatedRuns--
--- a/core/cell/runs.go
+++ b/core/cell/runs.go
@@ -29,6 +29,7 @@
 		s.waitingTasks--
 	}
 	t.state, t.currentRun = taskPlaced, r
+	x.hasSuspects = x.hasSuspects || t.crashes != suspicion.Record{}
 	t.highestRun = max(t.highestRun, number)
 	return r
 }
--- a/core/cell/schedule.go
+++ b/core/cell/schedule.go
@@ -228,7 +228,7 @@
 
 // canRun reports whether an executor meets the requirements of a step.
 func (k *Kernel) canRun(x *executor, s *stepRun, need fleet.Vector) bool {
-	return !k.isClosed(x) && k.fits(x, s, need)
+	return k.fits(x, s, need) && !k.isClosed(x)
 }
 
 // fits reports whether an executor has room for a task and meets its requirements.
--- a/core/cell/state.go
+++ b/core/cell/state.go
@@ -201,7 +201,9 @@
 	// isolatedRuns counts the runs in isolation. Until closedUntil nothing starts here,
 	// so that a run can be isolated once the others have settled.
 	isolatedRuns int
-	closedUntil  time.Duration
+	// hasSuspects is true if a task under suspicion may run here.
+	hasSuspects bool
+	closedUntil time.Duration
 	// misses counts the unanswered renewals in a row. An unanswered start or a
 	// confirmed order for the VM also raises it to missThreshold.
 	misses int
