Divide the messages of links so that each part arrives in time

Change: a message of several items is divided from 256 KB on; only a single item may be larger. Ruled out: a longer silence: it is what finds a dead carrier.

--- a/common/jsonstream/stream.go
+++ b/common/jsonstream/stream.go
@@ -163,13 +163,17 @@
 
 // Send sends a message. One that is too large for the peer is not sent, leaves the stream
 // usable and gives a *SizeError.
-func (s *Stream) Send(v any) error {
+func (s *Stream) Send(v any) error { return s.SendWithin(v, jsonhttp.MaxMessageBytes) }
+
+// SendWithin sends a message of less than the given number of bytes, and returns a
+// *SizeError for a larger one.
+func (s *Stream) SendWithin(v any, limit int) error {
 	line, err := json.Marshal(v)
 	if err != nil {
 		return fmt.Errorf("encode message %T: %w", v, err)
 	}
-	if len(line)+1 >= jsonhttp.MaxMessageBytes {
-		return &SizeError{Bytes: len(line)}
+	if limit = min(limit, jsonhttp.MaxMessageBytes); len(line)+1 >= limit {
+		return &SizeError{Bytes: len(line), Limit: limit}
 	}
 	return s.write(append(line, '\n'))
 }
@@ -210,9 +214,9 @@
 func (e *DecodeError) Unwrap() error { return e.Err }
 
 // SizeError reports a message that is too large.
-type SizeError struct{ Bytes int }
+type SizeError struct{ Bytes, Limit int }
 
 // Error returns the size of the message and the limit, in bytes.
 func (e *SizeError) Error() string {
-	return fmt.Sprintf("message has %d bytes, at most %d", e.Bytes, jsonhttp.MaxMessageBytes)
+	return fmt.Sprintf("message has %d bytes, at most %d", e.Bytes, e.Limit)
 }
--- a/edge/node_link.go
+++ b/edge/node_link.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"jacinthwind/common/eventlog"
+	"jacinthwind/common/jsonhttp"
 	"jacinthwind/common/jsonstream"
 	"jacinthwind/core"
 	"jacinthwind/core/carrier"
@@ -245,12 +246,13 @@
 // sendParts sends a message, in parts if it is too large. A request that is too large by
 // itself is answered here, and such a report is dropped: its executor reports again.
 func (l *nodeLink) sendParts(m nodeMessage) error {
-	err := l.stream.Send(m)
+	items := len(m.Calls) + len(m.Reports)
+	err := l.stream.SendWithin(m, partLimit(items))
 	var size *jsonstream.SizeError
 	if !errors.As(err, &size) {
 		return err
 	}
-	if len(m.Calls)+len(m.Reports) > 1 {
+	if items > 1 {
 		rest := m
 		if len(m.Reports) > 0 && len(m.Calls) > 0 {
 			m.Reports, rest.Calls = nil, nil
@@ -281,6 +283,14 @@
 	return nil
 }
 
+// partLimit returns how large a message with the given number of items may be.
+func partLimit(items int) int {
+	if items > 1 {
+		return maxPartBytes
+	}
+	return jsonhttp.MaxMessageBytes
+}
+
 // halves divides a list into two parts.
 func halves[T any](list []T) (first, rest []T) {
 	n := (len(list) + 1) / 2
--- a/edge/owner_link.go
+++ b/edge/owner_link.go
@@ -30,6 +30,9 @@
 	// maxLinkBacklog limits the orders and answers that wait to be written to one
 	// link. A link that takes none for so long is closed.
 	maxLinkBacklog = 5000
+	// maxPartBytes is the size from which a message is divided: a part must arrive well
+	// within the time after which a silent link is closed.
+	maxPartBytes = 256 << 10
 )
 
 // ownerLink is the owner's end of the link to a node.
@@ -347,12 +350,13 @@
 // sendParts sends a message, in parts if it is too large. An answer or an order that is too
 // large by itself is dropped; the order's executor then counts as silent.
 func (l *ownerLink) sendParts(stream *jsonstream.Stream, m ownerMessage) error {
-	err := stream.Send(m)
+	items := len(m.Answers) + len(m.Orders)
+	err := stream.SendWithin(m, partLimit(items))
 	var size *jsonstream.SizeError
 	if !errors.As(err, &size) {
 		return err
 	}
-	if len(m.Answers)+len(m.Orders) <= 1 {
+	if items <= 1 {
 		return nil
 	}
 	rest := m
