Count an answer as a sign of life from when its call was sent

Cause: how long an executor had survived a run was counted to the arrival of its last answer. One that was given before the run and arrived late, over a carrier and a busy owner, made the task look survived: its first crash after a takeover was not taken for a prompt one, and it started again beside others. Change: the executor is known to have lived when the call that it answered was sent. Ruled out: a longer time for a prompt crash: it would isolate more bystanders and be too short for a slower owner.

--- a/core/cell/crash.go
+++ b/core/cell/crash.go
@@ -45,7 +45,7 @@
 }
 
 // survived returns how long the executor is known to have lived after the start of a run.
-func (r *run) survived() time.Duration { return max(r.executor.lastAnswerAt-r.startedAt(), 0) }
+func (r *run) survived() time.Duration { return max(r.executor.aliveAt-r.startedAt(), 0) }
 
 // blameCrash records the loss of an executor at the tasks that may have caused it, and
 // gives up those that have crashed too many. The loss is certain to be a crash if the
--- a/core/cell/crash_test.go
+++ b/core/cell/crash_test.go
@@ -213,3 +213,18 @@
 	w.advance(2 * time.Second)
 	require.Equal(t, job.Succeeded, w.jobState(simpleJob(1, 1, 1).ID))
 }
+
+// TestLateAnswersHideWhatCrashedTheExecutor guards against counting an answer that was
+// given before a run and arrives late as proof that the executor survived the run
+// (sellocant-jw-grown, deadly-and-owners, seed 564433794769).
+func TestLateAnswersHideWhatCrashedTheExecutor(t *testing.T) {
+	w := newWorld(t, 8)
+	w.advance(time.Second)
+	w.answerDelay = func(string) time.Duration { return 400 * time.Millisecond }
+	deadly := simpleJob(1, 1, 500)
+	w.crashOnStart(10*time.Millisecond, deadly.ID)
+	w.submitSteadily(100, deadly)
+	w.advance(10 * time.Second)
+	w.requireGivenUp(t, deadly.ID)
+	require.LessOrEqual(t, w.starts[deadly.ID+".0.0.0"], 3, "the first crash was not charged as a prompt one")
+}
--- a/core/cell/executors.go
+++ b/core/cell/executors.go
@@ -73,7 +73,7 @@
 	x.incarnationStartedMs, x.fenced = startedMs, false
 	x.ackedEnd, x.seenEnd, x.clockMs, x.grantedDeadlineMs = 0, 0, 0, 0
 	x.failureStreak, x.knownSince, x.incarnationSeenAt = 0, k.now.Monotonic, k.now.Monotonic
-	x.closedUntil = 0
+	x.closedUntil, x.aliveAt = 0, 0
 }
 
 // clockRegressionSlack is how far an executor's clock may lag behind the expected
@@ -89,7 +89,7 @@
 	if clock <= 0 {
 		return
 	}
-	x.lastAnswerAt = k.now.Monotonic
+	x.lastAnswerAt, x.aliveAt = k.now.Monotonic, max(x.aliveAt, sent)
 	if x.clockMs > 0 && sent < x.clockReadAt {
 		return
 	}
--- a/core/cell/renewal.go
+++ b/core/cell/renewal.go
@@ -129,7 +129,7 @@
 	if firstAnswer {
 		x.fencedAt = k.now.Monotonic
 	}
-	x.fenced, x.absent, x.lastAnswerAt = true, false, k.now.Monotonic
+	x.fenced, x.absent, x.lastAnswerAt, x.aliveAt = true, false, k.now.Monotonic, max(x.aliveAt, e.Sent)
 	x.clockMs, x.clockReadAt = s.ClockMs, k.now.Monotonic
 	for _, end := range s.Ended {
 		if end.Number > x.seenEnd {
--- a/core/cell/state.go
+++ b/core/cell/state.go
@@ -196,6 +196,9 @@
 	renewalEndedAt time.Duration
 	// lastAnswerAt is when the executor last answered a call.
 	lastAnswerAt time.Duration
+	// aliveAt is when the last call that was answered had been sent: the executor lived
+	// then, while its answer may be much older than its arrival.
+	aliveAt time.Duration
 	// silentSince is when the executor first missed a call after its last answer.
 	silentSince time.Duration
 	// isolatedRuns counts the runs in isolation. Until closedUntil nothing starts here,
