Count a missed renewal once, and name the VM of a lost executor

The end of an isolation stood twice; a new list of VMs discarded one of two largest capacities. No decision changes.

--- a/core/cell/crash.go
+++ b/core/cell/crash.go
@@ -29,16 +29,13 @@
 	minLostTogether = 3
 )
 
-// markSilent records that an executor does not answer; outcome is empty if that is the
-// effect of an order for its VM.
+// markSilent records since when an executor does not answer, before its misses are counted;
+// outcome is empty if that is the effect of an order for its VM.
 func (k *Kernel) markSilent(x *executor, outcome fleet.OrderOutcome) {
 	if x.misses > 0 {
 		return
 	}
 	x.silentSince = k.now.Monotonic
-	if outcome == "" || outcome == fleet.OrderUnknown {
-		x.misses = max(x.misses, missThreshold)
-	}
 	if outcome != "" {
 		k.log(event.ExecutorSilent, "executor", x.ID, "outcome", outcome, "runs", len(x.runs))
 	}
@@ -206,6 +203,14 @@
 	}
 }
 
+// endIsolation ends the isolation of a run, if it is isolated.
+func (r *run) endIsolation() {
+	if r.isolated {
+		r.isolated = false
+		r.executor.isolatedRuns--
+	}
+}
+
 // endIsolation opens an executor to new work once it has survived its isolated runs for
 // long enough, and ends the suspicion against runs that it has survived for longer.
 func (k *Kernel) endIsolation(x *executor) {
@@ -219,9 +224,8 @@
 			continue
 		}
 		x.hasSuspects = true
-		if r.isolated && r.state == runActive && r.survived() >= t.crashes.Observation() {
-			r.isolated = false
-			x.isolatedRuns--
+		if r.state == runActive && r.survived() >= t.crashes.Observation() {
+			r.endIsolation()
 		}
 		if suspicion.IsInnocent(r.survived()) {
 			t.crashes = suspicion.Record{}
--- a/core/cell/executors.go
+++ b/core/cell/executors.go
@@ -218,8 +218,8 @@
 			youngest = r
 		}
 	}
-	_, ordered := k.vmOrders[x.vmName]
-	k.log(event.ExecutorLost, "executor", x.ID, "vm", x.vmName, "address", x.Address, "reason", reason,
+	_, ordered := k.vmOrders[x.lastVM]
+	k.log(event.ExecutorLost, "executor", x.ID, "vm", x.lastVM, "address", x.Address, "reason", reason,
 		"draining", x.Draining, "ordered", ordered, "known_ms", (k.now.Monotonic - x.knownSince).Milliseconds(),
 		"silent_ms", (k.now.Monotonic - x.lastAnswerAt).Milliseconds(), "runs", len(x.runs),
 		"youngest", youngest.name, "youngest_ms", (k.now.Monotonic - youngest.startedAt()).Milliseconds())
@@ -277,10 +277,7 @@
 	}
 	delete(r.executor.runs, key)
 	r.executor.runOrder = nil
-	if r.isolated {
-		r.isolated = false
-		r.executor.isolatedRuns--
-	}
+	r.endIsolation()
 	if r.step.Service {
 		r.executor.serviceUsed = r.executor.serviceUsed.Sub(r.reserved)
 	}
--- a/core/cell/runs.go
+++ b/core/cell/runs.go
@@ -80,6 +80,7 @@
 			r.state = runUnknown
 		}
 		k.markSilent(x, e.Answer.Outcome)
+		x.misses = max(x.misses, missThreshold)
 	case fleet.OrderFenced:
 		k.depose("executor " + x.ID + " has seen a higher token")
 	default:
--- a/core/cell/vm_order.go
+++ b/core/cell/vm_order.go
@@ -30,7 +30,7 @@
 	vms := e.VMs
 	k.vmsListedAt = k.now.Monotonic
 	k.vms = make(map[string]fleet.VM, len(vms))
-	k.vmOrder, k.largest = nil, fleet.Vector{}
+	k.vmOrder, k.largest, k.largestNow = nil, fleet.Vector{}, fleet.Vector{}
 	clear(k.capacities)
 	for _, x := range k.executors {
 		x.vmName = ""
@@ -189,6 +189,7 @@
 			// The platform also confirms an order that was carried out earlier, so only
 			// the list of VMs or a silent executor shows that the executor has ended.
 			k.markSilent(x, "")
+			x.misses = max(x.misses, missThreshold)
 		}
 		if w != nil {
 			k.markVMDone(w, e.VM)
