--- a/core/cell/crash_test.go
+++ b/core/cell/crash_test.go
@@ -54,6 +54,13 @@
 	require.LessOrEqual(t, w.starts[id+".0.0.0"], maxStartsOfCrashingTask)
 }
 
+// requireServed requires that the accepted ones of the given jobs are done.
+func (w *world) requireServed(t *testing.T, ids []string) {
+	for _, id := range ids {
+		require.Contains(t, []job.State{job.Succeeded, ""}, w.jobState(id), "job %s ran beside the cause", id)
+	}
+}
+
 // TestTaskThatCrashesExecutorsIsStartedWithoutEnd guards against the repeated start of a
 // task that crashes each executor that starts it (sellocant-jw, deadly, seeds 1 and 3).
 func TestTaskThatCrashesExecutorsIsStartedWithoutEnd(t *testing.T) {
@@ -66,9 +73,7 @@
 			ids := w.submitSteadily(100, deadly)
 			w.advance(10 * time.Second)
 			w.requireGivenUp(t, deadly.ID)
-			for _, id := range ids {
-				require.Contains(t, []job.State{job.Succeeded, ""}, w.jobState(id), "job %s ran beside the cause", id)
-			}
+			w.requireServed(t, ids)
 		})
 	}
 }
@@ -84,9 +89,7 @@
 	ids := w.submitSteadily(60, deadly)
 	w.advance(15 * time.Second)
 	w.requireGivenUp(t, deadly.ID)
-	for _, id := range ids {
-		require.Contains(t, []job.State{job.Succeeded, ""}, w.jobState(id), "job %s ran beside the cause", id)
-	}
+	w.requireServed(t, ids)
 }
 
 // TestServiceThatCrashesExecutorsIsStartedWithoutEnd guards against the same for a task
@@ -112,9 +115,7 @@
 		}
 	}
 	require.Equal(t, 12, running)
-	for _, id := range ids {
-		require.Contains(t, []job.State{job.Succeeded, ""}, w.jobState(id), "job %s ran beside the cause", id)
-	}
+	w.requireServed(t, ids)
 }
 
 // TestCrashesAreForgottenWithTheirOwner guards against an owner that counts the crashes
