Let a large answer take as long as it makes progress

Cause: reads of the store had fixed limits on their whole time, 0.6 s a call and 4 s for all records, whatever their size. A page holds up to a megabyte. What a link cannot carry in that time was never read, by no node: each claimer in turn lost its lease while it read. The limit also turned slow into more: a read was sent up to three times over the same link, the node then took the store for silent and read through peers, whose links carried the same bytes. Class of the fault: a transfer that is slow because it is large is taken for silence, and repeated.

Now the time until an answer begins is limited, and then the time without progress. Such a read is sent once, its progress counts as a sign of life of the store, and a single one without an answer goes to no peer while the store answers other calls. A claimer reads for as long as it keeps its lease.

Ruled out: an owner that keeps the task waiting or takes it for running; there was none (no 715 after the loss). The store: it was undisturbed.

--- a/core/metadata.go
+++ b/core/metadata.go
@@ -66,6 +66,11 @@
 	Body   []byte `json:"body,omitempty"`
 	// LongPoll marks a long poll, whose answer the store may delay.
 	LongPoll bool `json:"waits,omitempty"`
+	// AnswerWithin, if not zero, limits the time until the answer begins. Such an answer
+	// may be large, and may take as long as it makes progress.
+	AnswerWithin time.Duration `json:"answer_within,omitempty"`
+	// OnProgress is called for each part of an answer that arrives; it may be nil.
+	OnProgress func() `json:"-"`
 }
 
 // MetadataStore is the platform's key-value store for configurations and records.
--- a/edge/owner.go
+++ b/edge/owner.go
@@ -53,6 +53,7 @@
 	errNotOwner       = errors.New("inspect kernel: this node no longer owns the pools")
 	errOutageReported = errors.New("claim pools: an owner may rely on this node's report that the store is unreachable")
 	errUncertain      = errors.New("call owner: no answer, the outcome is unknown")
+	errLeaseLost      = errors.New("keep the claim: its lease could not be renewed in time")
 )
 
 // ownership claims the pools when no node owns them, and keeps them as long as it
@@ -238,19 +239,22 @@
 	k := cell.New(o.settings, now(), claim.token, int(claim.sequence.Generation-1)*runsPerGeneration)
 	k.Step(now(), cell.LeaseExtended{Until: claim.until})
 	k.Step(now(), cell.Configured{Configuration: o.operatorState().Configuration})
-	loading, cancel := context.WithTimeout(ctx, claimTimeout)
-	defer cancel()
-	// The lease is renewed while the records are loaded.
+	loading, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	// The records are loaded for as long as the lease is renewed.
 	renewedUntil := make(chan time.Duration, 1)
-	go func() { renewedUntil <- o.renewWhileLoading(loading, claim) }()
+	go func() { renewedUntil <- o.renewWhileLoading(loading, cancel, claim) }()
 	w, err := newWriter(loading, o.store, o.codec, o.log, claim.token, claim.sequence.Generation)
 	if err == nil {
 		err = loadKernel(loading, o.store, k, o.log)
 	}
-	cancel()
+	cancel(nil)
 	until := <-renewedUntil
 	if err != nil {
-		_ = o.store.RevokeLease(ctx, claim.lease)
+		if errors.Is(context.Cause(loading), errLeaseLost) {
+			err = errLeaseLost
+		}
+		o.revokeLease(ctx, claim.lease)
 		return fmt.Errorf("load stored records: %w", err)
 	}
 	k.Step(now(), cell.LeaseExtended{Until: until})
@@ -280,11 +284,16 @@
 	o.mu.Unlock()
 	h.stop()
 	o.log.Event(event.OwnershipEnded, zap.Int64("token", claim.token), zap.String("reason", reason))
-	// A failure is ignored: the lease of a deposed owner expires by itself.
+	o.revokeLease(ctx, claim.lease)
+	return nil
+}
+
+// revokeLease ends a lease, also if ctx has ended. A failure is ignored: the lease expires
+// by itself.
+func (o *ownership) revokeLease(ctx context.Context, lease int64) {
 	end, stop := context.WithTimeout(context.WithoutCancel(ctx), directTimeout)
 	defer stop()
-	_ = o.store.RevokeLease(end, claim.lease)
-	return nil
+	_ = o.store.RevokeLease(end, lease)
 }
 
 // awaitLinks waits for a short time after a claim until most nodes have linked, so
@@ -386,13 +395,19 @@
 }
 
 // renewWhileLoading renews the lease until ctx ends, and returns until when the
-// lease is known to last.
-func (o *ownership) renewWhileLoading(ctx context.Context, c grantedClaim) time.Duration {
+// lease is known to last. It cancels ctx once the lease is lost.
+func (o *ownership) renewWhileLoading(ctx context.Context, cancel context.CancelCauseFunc, c grantedClaim) time.Duration {
 	until := c.until
 	for ctx.Err() == nil {
 		sent := monotonicNow()
-		if o.store.RenewLease(ctx, c.lease) == nil {
+		renew, end := context.WithTimeout(ctx, ownerLeaseTTL)
+		err := o.store.RenewLease(renew, c.lease)
+		end()
+		switch {
+		case err == nil:
 			until = sent + ownerLeaseTTL - leaseMargin
+		case errors.Is(err, core.ErrNotFound) || monotonicNow() > until:
+			cancel(errLeaseLost)
 		}
 		sleep(ctx, ownerRenewInterval)
 	}
--- a/edge/prefix_watcher.go
+++ b/edge/prefix_watcher.go
@@ -16,7 +16,6 @@
 	// watchWait limits how long a silent connection can hide changes; a configuration
 	// has to be in force within 2 s.
 	watchWait       = time.Second
-	rangeTimeout    = 1500 * time.Millisecond
 	watchRetryDelay = 150 * time.Millisecond
 	maxPageAttempts = 3
 )
@@ -93,10 +92,10 @@
 	var revision int64
 	after := ""
 	for {
-		page, err := readPage(ctx, store, prefix, after)
+		page, err := store.Range(ctx, prefix, after)
 		for attempt := 1; err != nil && attempt < maxPageAttempts && ctx.Err() == nil; attempt++ {
 			sleep(ctx, watchRetryDelay)
-			page, err = readPage(ctx, store, prefix, after)
+			page, err = store.Range(ctx, prefix, after)
 		}
 		if err != nil {
 			return nil, 0, err
@@ -114,12 +113,6 @@
 	}
 }
 
-func readPage(ctx context.Context, store core.MetadataStore, prefix, after string) (core.Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, rangeTimeout)
-	defer cancel()
-	return store.Range(ctx, prefix, after)
-}
-
 // watch waits for the next changes and applies them to the copy.
 func (w *prefixWatcher) watch(ctx context.Context) error {
 	page, err := w.store.Watch(ctx, w.prefix, w.revision, watchWait)
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -29,7 +29,10 @@
 	// probeInterval is the interval at which a node probes a store that does not
 	// serve it.
 	probeInterval = time.Second
-	relayPath     = "/store"
+	// relayedTransferTime is how much longer a large answer may take through a peer, which
+	// first reads it whole.
+	relayedTransferTime = 4 * time.Second
+	relayPath           = "/store"
 )
 
 // Relay sends calls to the store directly or, while the store refuses this node,
@@ -75,7 +78,8 @@
 			}
 			return status, data, nil
 		}
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || (errors.Is(err, context.DeadlineExceeded) && c.AnswerWithin > 0 && !r.isStoreSilent()) {
+			// The store serves other calls, so that a peer would only be burdened.
 			return status, data, err
 		}
 		if err == nil {
@@ -83,6 +87,15 @@
 		}
 		r.markDirectDown(err)
 	}
+	if c.AnswerWithin > 0 {
+		limit := c.AnswerWithin
+		if !c.LongPoll {
+			limit += relayedTransferTime
+		}
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, limit)
+		defer cancel()
+	}
 	lastErr := fmt.Errorf("relay call to store: no peer is listed")
 	for _, p := range peers[:min(len(peers), maxPeerAttempts)] {
 		status, data, err := r.callPeer(ctx, p, c)
@@ -195,9 +208,10 @@
 var errSilentStore = errors.New("call store: it answers a peer but not this node")
 
 // callWithHedging calls the store. After two attempts without an answer, the last
-// one goes through the first of the peers. A long poll is sent once.
+// one goes through the first of the peers. A call whose answer may take long is sent once.
 func (r *Relay) callWithHedging(ctx context.Context, c core.StoreCall, peers []string) (status int, data []byte, viaPeer bool, err error) {
-	if c.LongPoll {
+	if c.LongPoll || c.AnswerWithin > 0 {
+		c.OnProgress = func() { r.lastDirectAnswer.Store(int64(monotonicNow())) }
 		status, data, err = r.Direct(ctx, c)
 		return status, data, false, err
 	}
--- a/edge/relay_test.go
+++ b/edge/relay_test.go
@@ -143,3 +143,57 @@
 
 // RoundTrip implements http.RoundTripper.
 func (f roundTripFunc) RoundTrip(req *http.Request) (*http.Response, error) { return f(req) }
+
+// TestOnePageWithoutAnswerBurdensPeers guards against a node that passes its large reads to
+// its peers because of one that got no answer, while the store serves its other calls.
+func TestOnePageWithoutAnswerBurdensPeers(t *testing.T) {
+	for name, c := range map[string]struct {
+		otherAnswered bool
+		wantPeer      bool
+	}{
+		"another call is answered meanwhile": {true, false},
+		"no call is answered":                {false, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			asked := false
+			r := &Relay{Log: eventlog.Nop(), peers: func() []string { return []string{"p"} }}
+			r.Client = &http.Client{Transport: roundTripFunc(func(*http.Request) (*http.Response, error) {
+				asked = true
+				return &http.Response{StatusCode: http.StatusOK, Body: http.NoBody}, nil
+			})}
+			r.Direct = func(context.Context, core.StoreCall) (int, []byte, error) {
+				if c.otherAnswered {
+					r.lastDirectAnswer.Store(int64(monotonicNow()))
+				} else {
+					r.lastDirectAnswer.Store(int64(monotonicNow() - 2*storeSilentAfter))
+				}
+				return 0, nil, context.DeadlineExceeded
+			}
+			_, _, err := r.SendCall(t.Context(), core.StoreCall{AnswerWithin: time.Second})
+			require.Equal(t, c.wantPeer, err == nil)
+			require.Equal(t, c.wantPeer, asked)
+			require.Equal(t, c.wantPeer, r.isDirectDown())
+		})
+	}
+}
+
+// TestLargeReadIsSentSeveralTimes guards against copies of a large answer that share the
+// link that is too slow for one.
+func TestLargeReadIsSentSeveralTimes(t *testing.T) {
+	calls := 0
+	r := &Relay{
+		Log: eventlog.Nop(), peers: func() []string { return []string{"p"} },
+		Direct: func(_ context.Context, c core.StoreCall) (int, []byte, error) {
+			calls++
+			for range 4 {
+				time.Sleep(directTimeout / 3)
+				c.OnProgress()
+			}
+			return http.StatusOK, nil, nil
+		},
+	}
+	_, _, err := r.SendCall(t.Context(), core.StoreCall{AnswerWithin: time.Second})
+	require.NoError(t, err)
+	require.Equal(t, 1, calls)
+	require.False(t, r.isStoreSilent())
+}
