Let large transactions and lists of VMs take the time that their size needs

The list of VMs had 1.5 s and was read again every half second.

The limits of a transaction now grow with its size, copies wait for it to be sent, and one holds 64 kB at most. A late call does not make the store count as silent while the store answers others. Pages of the list of VMs are limited by their progress, and one list is read at a time. A claim whose lease ran out while the records were read is given up.

--- a/edge/hedge.go
+++ b/edge/hedge.go
@@ -76,7 +76,8 @@
 	}
 	go attempt(send, false)
 	attempts, failed := 1, 0
-	delay := h.resendDelay()
+	// Copies of a call that is still being sent would share its link.
+	delay := h.resendDelay() + transferTime(len(c.Body))
 	t := time.NewTimer(delay)
 	defer t.Stop()
 	for {
--- a/edge/host.go
+++ b/edge/host.go
@@ -31,6 +31,9 @@
 	renewGrace = 600 * time.Millisecond
 	// vmOrderTimeout limits a call to the platform's interface for VMs.
 	vmOrderTimeout = 1500 * time.Millisecond
+	// listVMsTimeout limits a read of the list of VMs, whose pages are limited by their
+	// progress.
+	listVMsTimeout = 15 * time.Second
 	adviceTimeout  = time.Second
 )
 
@@ -61,6 +64,8 @@
 	goroutines sync.WaitGroup
 	// idleTickPending is set while an idle tick waits to be processed.
 	idleTickPending atomic.Bool
+	// listingVMs is set while the list of VMs is read.
+	listingVMs atomic.Bool
 
 	// Only the actor accesses the fields below.
 	calls         map[cell.CallID]chan cell.Answer
@@ -319,7 +324,10 @@
 			return cell.VMOrdered{VM: e.VM, Outcome: h.vms.Move(ctx, e.VM, e.Pool, h.node, e.Token)}
 		})
 	case cell.ListVMs:
-		h.callAsync(vmOrderTimeout, h.listVMs)
+		// A list that takes longer than the time between two requests is not read twice.
+		if h.listingVMs.CompareAndSwap(false, true) {
+			h.callAsync(listVMsTimeout, h.listVMs)
+		}
 	case cell.RequestAdvice:
 		h.callAsync(adviceTimeout, func(ctx context.Context) cell.Event {
 			sent := monotonicNow()
@@ -333,6 +341,7 @@
 }
 
 func (h *host) listVMs(ctx context.Context) cell.Event {
+	defer h.listingVMs.Store(false)
 	requestedAt := monotonicNow()
 	vms, err := h.vms.List(ctx)
 	if err != nil {
--- a/edge/host_test.go
+++ b/edge/host_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"jacinthwind/common/eventlog"
+	"jacinthwind/core"
 	"jacinthwind/core/carrier"
 	"jacinthwind/core/cell"
 	"jacinthwind/core/fleet"
@@ -187,3 +189,42 @@
 	h.runOrHandOver("write to the store", func() { panic("a record that cannot be encoded") })
 	require.Contains(t, <-deposed, "a record that cannot be encoded")
 }
+
+// slowVMs lists VMs slowly and counts the calls.
+type slowVMs struct {
+	core.VMClient
+	takes time.Duration
+	lists atomic.Int32
+}
+
+func (s *slowVMs) List(ctx context.Context) ([]fleet.VM, error) {
+	s.lists.Add(1)
+	select {
+	case <-time.After(s.takes):
+		return []fleet.VM{{Name: "m1"}}, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// TestListOfVMsOverSlowLinkIsNeverRead guards against a list that takes longer than a fixed
+// limit, so that it is never read, and is read several times at once.
+func TestListOfVMsOverSlowLinkIsNeverRead(t *testing.T) {
+	h, _ := newTestHost(t)
+	vms := &slowVMs{takes: vmOrderTimeout + 300*time.Millisecond}
+	h.vms = vms
+	listed := make(chan any, 10)
+	h.pid = h.system.Root.Spawn(actor.PropsFromFunc(func(c actor.Context) {
+		if e, ok := c.Message().(cell.Event); ok {
+			listed <- e
+		}
+	}))
+	for range 3 {
+		h.startCall(cell.ListVMs{})
+	}
+	require.Equal(t, []fleet.VM{{Name: "m1"}}, (<-listed).(cell.VMsListed).VMs)
+	require.Equal(t, int32(1), vms.lists.Load())
+	h.goroutines.Wait()
+	h.startCall(cell.ListVMs{})
+	require.IsType(t, cell.VMsListed{}, <-listed)
+}
--- a/edge/owner.go
+++ b/edge/owner.go
@@ -250,10 +250,10 @@
 	}
 	cancel(nil)
 	until := <-renewedUntil
+	if errors.Is(context.Cause(loading), errLeaseLost) || (err == nil && monotonicNow() > until) {
+		err = errLeaseLost
+	}
 	if err != nil {
-		if errors.Is(context.Cause(loading), errLeaseLost) {
-			err = errLeaseLost
-		}
 		o.revokeLease(ctx, claim.lease)
 		return fmt.Errorf("load stored records: %w", err)
 	}
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -66,7 +66,10 @@
 
 // SendCall sends a call to the store, directly or through a peer.
 func (r *Relay) SendCall(ctx context.Context, c core.StoreCall) (int, []byte, error) {
-	peers := r.orderPeers(r.peers())
+	var peers []string
+	if r.peers != nil {
+		peers = r.orderPeers(r.peers())
+	}
 	if !r.isDirectDown() {
 		status, data, viaPeer, err := r.callWithHedging(ctx, c, peers)
 		if isServed(status, err) {
@@ -78,14 +81,17 @@
 			}
 			return status, data, nil
 		}
-		if ctx.Err() != nil || (errors.Is(err, context.DeadlineExceeded) && c.AnswerWithin > 0 && !r.isStoreSilent()) {
-			// The store serves other calls, so that a peer would only be burdened.
+		busy := errors.Is(err, context.DeadlineExceeded) && !r.isStoreSilent()
+		if ctx.Err() != nil || (busy && c.AnswerWithin > 0) {
+			// The store serves other calls, so that a large read would only burden a peer.
 			return status, data, err
 		}
 		if err == nil {
 			err = fmt.Errorf("call store: status %d", status)
 		}
-		r.markDirectDown(err)
+		if !busy {
+			r.markDirectDown(err)
+		}
 	}
 	if c.AnswerWithin > 0 {
 		limit := c.AnswerWithin
@@ -215,7 +221,7 @@
 		status, data, err = r.Direct(ctx, c)
 		return status, data, false, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, directTimeout)
+	ctx, cancel := context.WithTimeout(ctx, directTimeout+transferTime(len(c.Body)))
 	defer cancel()
 	var fallback storeCallFunc
 	if len(peers) > 0 {
@@ -224,6 +230,15 @@
 	return r.hedge.call(ctx, r.Direct, fallback, c)
 }
 
+// minTransferRate is the rate, in bytes per second, at which a node sends at least: well
+// below the slowest link, which other calls share.
+const minTransferRate = 64 << 10
+
+// transferTime returns how long sending a body of the given size may take.
+func transferTime(bytes int) time.Duration {
+	return time.Duration(bytes) * time.Second / minTransferRate
+}
+
 // callPeer asks a peer to relay a call to the store.
 func (r *Relay) callPeer(ctx context.Context, peer string, c core.StoreCall) (int, []byte, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+peer+relayPath, bytes.NewReader(mustEncode(c)))
--- a/edge/writer.go
+++ b/edge/writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"encoding/json"
 	"errors"
 	"hash/fnv"
@@ -22,8 +23,9 @@
 	writerLanes = 4
 	// maxCommitPuts, the two conditions and the sequence record together are the store's
 	// limit of 32 entries per transaction.
-	maxCommitPuts       = 29
-	maxCommitBytes      = 512 << 10
+	maxCommitPuts = 29
+	// maxCommitBytes keeps a transaction short on a slow link.
+	maxCommitBytes      = 64 << 10
 	commitTimeout       = 800 * time.Millisecond
 	commitRetryInterval = 150 * time.Millisecond
 )
@@ -167,7 +169,11 @@
 
 // commitOnce sends a transaction with a timeout.
 func (w *writer) commitOnce(ctx context.Context, t core.Transaction) (int64, []core.Item, error) {
-	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	size := 0
+	for _, p := range t.Puts {
+		size += len(p.Value)
+	}
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout+transferTime(base64.StdEncoding.EncodedLen(size)))
 	defer cancel()
 	return w.store.Commit(ctx, t)
 }
