List no executor whose entry names a pool that the configuration doesn't

The protocol says that an entry with a service that isn't named holds no executor to use. Here it did: its address was called until it left, a large room in it made jobs acceptable that no executor can run, and written over the entry of a living executor it replaced the address, so that the executor got no renewals and lost its running work within four seconds.

Cause: the kernel took each entry that could be decoded.

The entry is kept aside and takes effect once a configuration names the pool; of an executor that is known it changes nothing, and the executor counts as no longer listed, so that its runs go on and nothing new starts there.

Ruled out, by the same test: an entry that cannot be decoded, or one with hardly any room, written over a living executor's again and again for ten seconds. Both left its run alone before as well.

TestEntryOfUnnamedPoolChangesNothing and TestOddEntryOfLivingExecutorKeepsItsRuns (case of another pool) failed before. The fake executors of the kernel tests answer at their own address only now.

--- a/core/cell/executors.go
+++ b/core/cell/executors.go
@@ -29,16 +29,46 @@
 // replaceExecutors replaces the list of registered executors.
 func (k *Kernel) replaceExecutors(executors []fleet.Executor) {
 	k.executorsListed = true
+	clear(k.unnamedPools)
 	for _, x := range k.executors {
 		x.listed = false
 	}
 	k.updateExecutors(executors)
 }
 
-// updateExecutors adds or updates executors in the list of registered ones.
+// removeExecutors removes executors from the list of registered ones.
+func (k *Kernel) removeExecutors(ids []string) {
+	for _, id := range ids {
+		delete(k.unnamedPools, id)
+		if x := k.executors[id]; x != nil {
+			x.listed = false
+		}
+	}
+}
+
+// listNamedPools lists the executors whose pool only the present configuration names.
+func (k *Kernel) listNamedPools() {
+	var named []fleet.Executor
+	for _, id := range slices.Sorted(maps.Keys(k.unnamedPools)) {
+		if e := k.unnamedPools[id]; k.config.Pool(e.Pool) != nil {
+			named = append(named, e)
+		}
+	}
+	k.updateExecutors(named)
+}
+
+// updateExecutors adds or updates executors in the list of registered ones. An entry of a
+// pool that the configuration does not name lists no executor, and changes nothing of one
+// that is known.
 func (k *Kernel) updateExecutors(executors []fleet.Executor) {
 	k.forgetExecutorIndexes()
 	for _, e := range executors {
+		if k.config.Pool(e.Pool) == nil {
+			k.removeExecutors([]string{e.ID})
+			k.unnamedPools[e.ID] = e
+			continue
+		}
+		delete(k.unnamedPools, e.ID)
 		x := k.executors[e.ID]
 		if x == nil {
 			x = &executor{Executor: e, runs: map[runKey]*run{}, knownSince: k.now.Monotonic}
--- a/core/cell/fake_executor_test.go
+++ b/core/cell/fake_executor_test.go
@@ -74,7 +74,7 @@
 // executeStart executes a start order and checks that it violates no invariant.
 func (w *world) executeStart(o fleet.StartOrder) fleet.OrderAnswer {
 	x := w.executors[o.Executor]
-	if x.unreachable || x.down {
+	if x.unreachable || x.down || x.Address != o.Address {
 		return fleet.OrderAnswer{Outcome: fleet.OrderUnknown}
 	}
 	clock := w.clockOf(x)
@@ -126,7 +126,7 @@
 // executeStop executes a stop order.
 func (w *world) executeStop(o fleet.StopOrder) fleet.OrderAnswer {
 	x := w.executors[o.Executor]
-	if x == nil || x.unreachable || x.down {
+	if x == nil || x.unreachable || x.down || x.Address != o.Address {
 		return fleet.OrderAnswer{Outcome: fleet.OrderUnknown}
 	}
 	if o.Token < x.token {
@@ -149,7 +149,7 @@
 	delay, answered := w.orderDelivery("renew", "")
 	w.runAfter(max(delay, 5*time.Millisecond), func() {
 		x := w.executors[o.Executor]
-		if x == nil || x.unreachable || x.unreachableFor[k] || x.down || !answered {
+		if x == nil || x.unreachable || x.unreachableFor[k] || x.down || x.Address != o.Address || !answered {
 			w.runAfter(600*time.Millisecond, func() {
 				w.answerOwner(k, cell.Renewed{Executor: o.Executor, Sent: sent, State: fleet.ExecutorState{Outcome: fleet.OrderUnknown}})
 			})
--- a/core/cell/kernel.go
+++ b/core/cell/kernel.go
@@ -88,6 +88,9 @@
 	executorOrder       []*executor
 	executorsByPool     map[string][]*executor
 	largest, largestNow fleet.Vector
+	// unnamedPools holds the entries of executors whose pool the configuration does not
+	// name, by id.
+	unnamedPools map[string]fleet.Executor
 	// capacities caches the capacities of pools between two ticks.
 	capacities map[capacityKey]capacity
 	// vmOrder caches the names of the VMs in their order; it is nil after a change.
@@ -146,7 +149,7 @@
 	return &Kernel{
 		Settings: s, Token: token, RunBase: runBase,
 		now: now, claimedAt: now.Monotonic, recovering: true,
-		jobs: map[string]*jobState{}, executors: map[string]*executor{},
+		jobs: map[string]*jobState{}, executors: map[string]*executor{}, unnamedPools: map[string]fleet.Executor{},
 		pools: map[string]*pool{}, teamUsage: map[string]fleet.Vector{},
 		evacuated: map[string]bool{}, queueDepth: map[string]int{},
 		waves: map[int]*wave{}, vms: map[string]fleet.VM{},
@@ -171,11 +174,7 @@
 		k.replaceExecutors(e.Executors)
 	case ExecutorsChanged:
 		k.updateExecutors(e.Changed)
-		for _, id := range e.Removed {
-			if x := k.executors[id]; x != nil {
-				x.listed = false
-			}
-		}
+		k.removeExecutors(e.Removed)
 	case DataCentresEvacuated:
 		k.setEvacuated(e.DataCentres)
 	case WavesUpdated:
@@ -293,6 +292,7 @@
 		return
 	}
 	k.config = c
+	k.listNamedPools()
 	for _, p := range k.pools {
 		p.backlog = backlog{}
 	}
--- /dev/null
+++ b/core/cell/odd_entry_test.go
@@ -0,0 +1,82 @@
+package cell_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"jacinthwind/core/cell"
+	"jacinthwind/core/fleet"
+	"jacinthwind/core/job"
+)
+
+// TestEntryOfUnnamedPoolChangesNothing lets an entry name a pool that is not in the
+// configuration, with a room that no executor has: what no executor can run stays refused,
+// the entry is not called, and the executor is used once the configuration names the pool.
+func TestEntryOfUnnamedPoolChangesNothing(t *testing.T) {
+	w := newWorld(t, 2)
+	w.addExecutor("odd")
+	w.executors["odd"].Pool, w.executors["odd"].Capacity.CPU = "nobody", 1<<40
+	w.vms = w.vms[:2]
+	w.listExecutors()
+	w.advance(time.Second)
+	require.Zero(t, w.executors["odd"].token, "the address of the entry was called")
+	require.Equal(t, cell.Unservable, w.verdicts[w.submitJob(simpleJob(1, 1, 9000))].Verdict)
+
+	next := *w.config
+	next.Version++
+	next.Pools = append(next.Pools, fleet.Pool{Name: "nobody"})
+	next.Index()
+	w.step(cell.Configured{Configuration: &next})
+	w.advance(time.Second)
+	require.NotZero(t, w.executors["odd"].token)
+}
+
+// TestOddEntryOfLivingExecutorKeepsItsRuns overwrites the entry of an executor that answers
+// for longer than its deadlines last, and then corrects it: its run goes on, no other is
+// started, and the executor gets work again.
+func TestOddEntryOfLivingExecutorKeepsItsRuns(t *testing.T) {
+	for name, overwrite := range map[string]func(fleet.Executor) cell.ExecutorsChanged{
+		"it cannot be decoded": func(e fleet.Executor) cell.ExecutorsChanged {
+			return cell.ExecutorsChanged{Removed: []string{e.ID}}
+		},
+		"a pool that is not named, another address": func(e fleet.Executor) cell.ExecutorsChanged {
+			e.Pool, e.Address = "nobody", "10.0.0.9:1"
+			return cell.ExecutorsChanged{Changed: []fleet.Executor{e}}
+		},
+		"no room": func(e fleet.Executor) cell.ExecutorsChanged {
+			e.Capacity = fleet.Vector{CPU: 1}
+			return cell.ExecutorsChanged{Changed: []fleet.Executor{e}}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 1)
+			w.advance(time.Second)
+			j := simpleJob(1, 1, 1000)
+			j.Steps[0].Service = true
+			w.submitJob(j)
+			w.advance(time.Second)
+			x := w.executors["e0"]
+			require.Equal(t, map[string]int{"e0": 1}, w.countRuns(j.ID))
+			w.addExecutor("e1")
+			w.listExecutors()
+			for range 20 {
+				// True entries come every so often, and are overwritten again.
+				w.step(overwrite(x.Executor))
+				w.advance(500 * time.Millisecond)
+			}
+			require.Equal(t, map[string]int{"e0": 1}, w.countRuns(j.ID))
+			require.Equal(t, 1, w.starts[j.ID+".0.0.0"])
+			w.step(cell.ExecutorsChanged{Changed: []fleet.Executor{x.Executor}})
+			w.executors["e1"].Draining = true
+			w.listExecutors()
+			w.advance(time.Second)
+			later := simpleJob(2, 1, 1000)
+			w.submitJob(later)
+			w.advance(2 * time.Second)
+			require.Equal(t, job.Succeeded, w.jobState(later.ID), "the executor is not used again")
+			require.Equal(t, 1, w.starts[j.ID+".0.0.0"])
+		})
+	}
+}
