Let an executor's answer, not its entry, say that it started anew

An entry whose `born` was too large, by a millisecond or 2^63-1, made the owner give up all runs of an executor that lived and answered, and start them again while the first ones still ran.

Cause: a later `born` in an entry was taken for a new incarnation at once.

Such an entry now starts a renewal at once, which grants no deadline and acknowledges nothing, and until its answer nothing new starts on the executor. The answer names the start of the incarnation that lives: a later one ends the runs as before, the known one refutes the entry. Without an answer the runs last until their deadlines have passed. A renewal that waits for the previous incarnation doesn't hold up the new one.

Ruled out: that a `born` of 2^63-1 makes later true incarnations look old. The answers to renewals correct it in both directions, before and after this change.

--- a/core/cell/executors.go
+++ b/core/cell/executors.go
@@ -77,7 +77,7 @@
 		}
 		switch {
 		case x.incarnationStartedMs != 0 && e.StartedMs > x.incarnationStartedMs:
-			k.resetIncarnation(x, e.StartedMs)
+			k.expectIncarnation(x, e.StartedMs)
 		case x.incarnationStartedMs == 0 && e.StartedMs != x.Executor.StartedMs:
 			// An answer in transit may come from the previous incarnation.
 			x.incarnationSeenAt = k.now.Monotonic
@@ -88,6 +88,18 @@
 	}
 }
 
+// expectIncarnation notes that the entry of an executor names a later start than its
+// answers. Another writer may have left the entry, so only the answer to a renewal that is
+// sent at once, or the end of its deadlines, shows whether its runs have ended.
+func (k *Kernel) expectIncarnation(x *executor, startedMs int64) {
+	if startedMs == x.expectedStartMs || startedMs == x.refutedStartMs {
+		return
+	}
+	x.expectedStartMs, x.expectedSince = startedMs, k.now.Monotonic
+	// A renewal that is under way may wait for an answer of the previous incarnation.
+	x.renewing, x.renewalEndedAt = false, 0
+}
+
 // resetIncarnation discards the runs and the state of an executor's previous
 // incarnation; startedMs is zero if the start of the new one is not known
 // yet.
@@ -104,6 +116,7 @@
 	x.ackedEnd, x.seenEnd, x.clockMs, x.grantedDeadlineMs = 0, 0, 0, 0
 	x.failureStreak, x.knownSince, x.incarnationSeenAt = 0, k.now.Monotonic, k.now.Monotonic
 	x.closedUntil, x.aliveAt = 0, 0
+	x.expectedStartMs, x.refutedStartMs = 0, 0
 }
 
 // clockRegressionSlack is how far an executor's clock may lag behind the expected
@@ -132,7 +145,7 @@
 
 // isUsable reports whether an executor may get new work.
 func (k *Kernel) isUsable(x *executor) bool {
-	return x.listed && x.fenced && !x.Draining && !x.cordoned && x.misses < missThreshold &&
+	return x.listed && x.fenced && x.expectedStartMs == 0 && !x.Draining && !x.cordoned && x.misses < missThreshold &&
 		!k.evacuated[x.DataCentre] && x.avoidUntil <= k.now.Monotonic
 }
 
--- a/core/cell/odd_entry_test.go
+++ b/core/cell/odd_entry_test.go
@@ -1,10 +1,13 @@
 package cell_test
 
 import (
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"jacinthwind/core/cell"
 	"jacinthwind/core/fleet"
@@ -33,23 +36,58 @@
 	require.NotZero(t, w.executors["odd"].token)
 }
 
+// oddEntryChanges overwrite the entry of an executor in ways that only another writer
+// does.
+var oddEntryChanges = map[string]func(fleet.Executor) cell.ExecutorsChanged{
+	"it cannot be decoded": func(e fleet.Executor) cell.ExecutorsChanged {
+		return cell.ExecutorsChanged{Removed: []string{e.ID}}
+	},
+	"a pool that is not named, another address": func(e fleet.Executor) cell.ExecutorsChanged {
+		e.Pool, e.Address = "nobody", "10.0.0.9:1"
+		return cell.ExecutorsChanged{Changed: []fleet.Executor{e}}
+	},
+	"the start is in the far future": func(e fleet.Executor) cell.ExecutorsChanged {
+		e.StartedMs = 1<<63 - 1
+		return cell.ExecutorsChanged{Changed: []fleet.Executor{e}}
+	},
+	"the start is a little later": func(e fleet.Executor) cell.ExecutorsChanged {
+		e.StartedMs++
+		return cell.ExecutorsChanged{Changed: []fleet.Executor{e}}
+	},
+	"no room": func(e fleet.Executor) cell.ExecutorsChanged {
+		e.Capacity = fleet.Vector{CPU: 1}
+		return cell.ExecutorsChanged{Changed: []fleet.Executor{e}}
+	},
+}
+
+// TestRandomOddEntriesKeepInvariants overwrites entries of executors among the other
+// random faults: no task may run twice.
+func TestRandomOddEntriesKeepInvariants(t *testing.T) {
+	kinds := slices.Sorted(maps.Keys(oddEntryChanges))
+	rapid.Check(t, func(t *rapid.T) {
+		r := &randomWorld{T: t, world: newWorld(t, rapid.IntRange(1, 5).Draw(t, "executors"))}
+		r.advance(time.Second)
+		for range rapid.IntRange(10, 60).Draw(t, "length") {
+			if rapid.IntRange(0, 3).Draw(t, "odd") > 0 {
+				r.doRandomAction()
+				continue
+			}
+			overwrite := oddEntryChanges[rapid.SampledFrom(kinds).Draw(t, "kind of entry")]
+			r.step(overwrite(r.drawExecutor().Executor))
+			r.advance(time.Duration(rapid.IntRange(10, 3000).Draw(t, "odd ms")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "corrected") {
+				r.listExecutors()
+			}
+		}
+		r.recoverAndCheck()
+	})
+}
+
 // TestOddEntryOfLivingExecutorKeepsItsRuns overwrites the entry of an executor that answers
 // for longer than its deadlines last, and then corrects it: its run goes on, no other is
 // started, and the executor gets work again.
 func TestOddEntryOfLivingExecutorKeepsItsRuns(t *testing.T) {
-	for name, overwrite := range map[string]func(fleet.Executor) cell.ExecutorsChanged{
-		"it cannot be decoded": func(e fleet.Executor) cell.ExecutorsChanged {
-			return cell.ExecutorsChanged{Removed: []string{e.ID}}
-		},
-		"a pool that is not named, another address": func(e fleet.Executor) cell.ExecutorsChanged {
-			e.Pool, e.Address = "nobody", "10.0.0.9:1"
-			return cell.ExecutorsChanged{Changed: []fleet.Executor{e}}
-		},
-		"no room": func(e fleet.Executor) cell.ExecutorsChanged {
-			e.Capacity = fleet.Vector{CPU: 1}
-			return cell.ExecutorsChanged{Changed: []fleet.Executor{e}}
-		},
-	} {
+	for name, overwrite := range oddEntryChanges {
 		t.Run(name, func(t *testing.T) {
 			w := newWorld(t, 1)
 			w.advance(time.Second)
--- a/core/cell/renewal.go
+++ b/core/cell/renewal.go
@@ -42,7 +42,7 @@
 		if k.isDownByOrder(x) {
 			continue
 		}
-		if wait > 0 && k.hasUnresolvedRuns(x) {
+		if wait > 0 && (k.hasUnresolvedRuns(x) || x.expectedStartMs != 0) {
 			wait = 0
 		}
 		x.renewing = true
@@ -50,7 +50,7 @@
 			Address: x.Address, Executor: x.ID, Token: k.Token,
 			Acknowledged: x.ackedEnd, WaitMs: wait, DeadlineMs: k.nextDeadline(x),
 		}
-		if x.misses > 0 {
+		if x.misses > 0 || x.expectedStartMs != 0 {
 			// A new incarnation numbers its ends from the beginning, so an old number
 			// would acknowledge ends that this owner has not seen.
 			order.Acknowledged = 0
@@ -60,6 +60,10 @@
 			order.DeadlineMs = x.grantedDeadlineMs
 		}
 		x.grantedDeadlineMs = order.DeadlineMs
+		if x.expectedStartMs != 0 {
+			// The deadline is on the clock of the incarnation that may have ended.
+			order.DeadlineMs = 0
+		}
 		k.emit(Renew{order})
 	}
 }
@@ -99,8 +103,10 @@
 	if x == nil {
 		return
 	}
-	x.renewing = false
-	x.renewalEndedAt = k.now.Monotonic
+	if e.Sent >= x.expectedSince {
+		x.renewing = false
+		x.renewalEndedAt = k.now.Monotonic
+	}
 	if e.Sent < x.incarnationSeenAt {
 		return
 	}
@@ -121,6 +127,11 @@
 		}
 		x.incarnationStartedMs = s.StartedMs
 	}
+	if x.expectedStartMs != 0 && e.Sent >= x.expectedSince {
+		x.expectedStartMs, x.refutedStartMs = 0, x.expectedStartMs
+		// The next renewal grants a deadline again.
+		x.renewalEndedAt = 0
+	}
 	if x.misses > 0 {
 		k.log(event.ExecutorAnswers, "executor", x.ID, "misses", x.misses)
 	}
--- a/core/cell/state.go
+++ b/core/cell/state.go
@@ -170,6 +170,11 @@
 	// absent is true if the list of VMs shows no VM that is up with this executor.
 	absent               bool
 	incarnationStartedMs int64
+	// expectedStartMs is the start of a later incarnation that the executor's entry has
+	// named since expectedSince and that no answer has shown yet, zero if there is none.
+	// refutedStartMs is the last one that an answer has refuted.
+	expectedStartMs, refutedStartMs int64
+	expectedSince                   time.Duration
 	// incarnationSeenAt is when the present incarnation was noticed. Answers to calls
 	// that were sent earlier may come from the previous one.
 	incarnationSeenAt time.Duration
