Call an executor where it answers, whatever its entry says

An entry that names another address, also that of another executor or of a node of ours, written over the entry of an executor that lives and answers, made the owner send the renewals there. They got no answer, and the executor's running work lapsed within four seconds.

Cause: the address in the entry was used at once.

An incarnation keeps its address, so calls go on to the one that answers. After a renewal without an answer the other one is tried, in turn, so that an executor that started anew at another address is found after one call more.

Ruled out: work at the wrong executor. Each call names the id that it is meant for, and any other executor refuses it.

--- a/core/cell/executors.go
+++ b/core/cell/executors.go
@@ -82,12 +82,27 @@
 			// An answer in transit may come from the previous incarnation.
 			x.incarnationSeenAt = k.now.Monotonic
 		}
-		x.Executor = e
+		address := x.Address
+		x.Executor, x.listedAddress = e, e.Address
+		if address == x.answeredAddress {
+			// An incarnation keeps its address, so the entry may be another writer's.
+			x.Address = address
+		}
 		x.fullCapacity = x.fullCapacity.Max(e.Capacity)
 		x.listed = true
 	}
 }
 
+// changeAddress makes the next call go to the address in the entry if the last one went
+// to the address that answered before, and the other way round.
+func (x *executor) changeAddress() {
+	if x.Address == x.listedAddress && x.answeredAddress != "" {
+		x.Address = x.answeredAddress
+		return
+	}
+	x.Address = x.listedAddress
+}
+
 // expectIncarnation notes that the entry of an executor names a later start than its
 // answers. Another writer may have left the entry, so only the answer to a renewal that is
 // sent at once, or the end of its deadlines, shows whether its runs have ended.
--- a/core/cell/odd_entry_test.go
+++ b/core/cell/odd_entry_test.go
@@ -54,6 +54,14 @@
 		e.StartedMs++
 		return cell.ExecutorsChanged{Changed: []fleet.Executor{e}}
 	},
+	"another address": func(e fleet.Executor) cell.ExecutorsChanged {
+		e.Address = "10.0.0.9:1"
+		return cell.ExecutorsChanged{Changed: []fleet.Executor{e}}
+	},
+	"a later start at another address": func(e fleet.Executor) cell.ExecutorsChanged {
+		e.StartedMs, e.Address = e.StartedMs+1, "10.0.0.9:1"
+		return cell.ExecutorsChanged{Changed: []fleet.Executor{e}}
+	},
 	"no room": func(e fleet.Executor) cell.ExecutorsChanged {
 		e.Capacity = fleet.Vector{CPU: 1}
 		return cell.ExecutorsChanged{Changed: []fleet.Executor{e}}
--- a/core/cell/renewal.go
+++ b/core/cell/renewal.go
@@ -119,6 +119,7 @@
 	default:
 		k.markSilent(x, s.Outcome)
 		x.misses++
+		x.changeAddress()
 		return
 	}
 	if s.StartedMs != 0 && s.StartedMs != x.incarnationStartedMs {
@@ -140,6 +141,7 @@
 	if firstAnswer {
 		x.fencedAt = k.now.Monotonic
 	}
+	x.answeredAddress = x.Address
 	x.fenced, x.absent, x.lastAnswerAt, x.aliveAt = true, false, k.now.Monotonic, max(x.aliveAt, e.Sent)
 	x.clockMs, x.clockReadAt = s.ClockMs, k.now.Monotonic
 	for _, end := range s.Ended {
--- a/core/cell/state.go
+++ b/core/cell/state.go
@@ -160,6 +160,9 @@
 type executor struct {
 	fleet.Executor
 	listed bool
+	// listedAddress is the address in the executor's entry and answeredAddress the one at
+	// which it last answered a renewal. While it answers, Address is that one.
+	listedAddress, answeredAddress string
 	// fullCapacity is the largest capacity that the executor has had; its present one may
 	// shrink and grow.
 	fullCapacity fleet.Vector
