Keep the list going after one value that can't be read

One value in a page or an event of the store that is no base64 text made the whole answer unreadable. A watch asks again from the same revision, so it got the same answer for ever, and the list did not change any more; a full read failed as a whole. A key that is not UTF-8 at the end of a page arrives changed, and the next page after it could be the same one for ever.

Cause: an answer was decoded in one piece, and an unreadable answer was not told from a store that doesn't answer.

After any other answer that can't be decoded the watcher reads all items anew and goes on from there. A page that brings no later key ends the list.

Ruled out: deep nesting of an answer (a million levels give an error at once), and numbers that are too large.

--- a/core/metadata.go
+++ b/core/metadata.go
@@ -11,6 +11,9 @@
 // Errors that a MetadataStore returns in addition to ErrNotFound, ErrCompacted
 // and ErrUnavailable.
 var (
+	// ErrUnreadable means, beside ErrUnavailable, that the store answered a read with what
+	// cannot be decoded.
+	ErrUnreadable = errors.New("the store's answer cannot be decoded")
 	// ErrConflict means that a condition of a transaction does not hold.
 	ErrConflict = errors.New("store transaction: a condition does not hold")
 	// ErrUncertain means that a write got no answer and may still take effect.
--- a/edge/prefix_watcher.go
+++ b/edge/prefix_watcher.go
@@ -64,6 +64,10 @@
 				w.onLost(err)
 			}
 			disconnected = true
+			if errors.Is(err, core.ErrUnreadable) {
+				// A watch from the same revision gets the same answer, all items may not.
+				synced = false
+			}
 			sleep(ctx, watchRetryDelay)
 		}
 	}
@@ -104,13 +108,16 @@
 		if revision == 0 {
 			revision = page.Revision
 		}
+		last := after
 		for _, item := range page.Items {
 			items[item.Key] = item
-			after = item.Key
+			last = item.Key
 		}
-		if !page.More || len(page.Items) == 0 {
+		// A key that is not UTF-8 arrives changed, and the next page after it may be the same.
+		if !page.More || last <= after {
 			return items, revision, nil
 		}
+		after = last
 	}
 }
 
