Log an executor's odd entry once in ten seconds

What callers saw: not seen here; part of the report about odd entries. Each rewriting of an entry that names no executor wrote a line, up to 2,000 a second, which hides what else the log says.

Each such entry now has one line in ten seconds, at most 50 entries do, and a line says how many were left out since the last one.

--- a/edge/executor_list.go
+++ b/edge/executor_list.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -58,8 +59,48 @@
 // decode.
 func (h *host) decodeExecutor(item core.Item) (fleet.Executor, bool) {
 	e, err := h.codec.DecodeExecutor(item)
-	if err != nil {
-		h.log.Event(event.ExecutorEntrySkipped, zap.Error(err))
+	if err == nil {
+		return e, true
 	}
-	return e, err == nil
+	if unlogged, ok := h.oddEntries.admit(monotonicNow(), item.Key); ok {
+		h.log.Event(event.ExecutorEntrySkipped, zap.Error(err), zap.Int("unlogged", unlogged))
+	}
+	return e, false
+}
+
+// Limits of the lines about entries that cannot be decoded. Their writer may write as
+// often as an executor does, or more often.
+const (
+	oddEntryLogInterval = 10 * time.Second
+	// maxLoggedEntries is the number of entries that are logged in one interval.
+	maxLoggedEntries = 50
+)
+
+// entryLog limits the log lines about entries to one per entry and interval.
+type entryLog struct {
+	loggedAt map[string]time.Duration
+	// unlogged counts the entries without a line since the last line.
+	unlogged int
+}
+
+// admit reports whether an entry may be logged now, and how many were not since the last
+// one that was.
+func (l *entryLog) admit(now time.Duration, key string) (unlogged int, ok bool) {
+	if l.loggedAt == nil {
+		l.loggedAt = map[string]time.Duration{}
+	}
+	at, known := l.loggedAt[key]
+	if known && now >= at+oddEntryLogInterval {
+		known = false
+	}
+	if !known && len(l.loggedAt) >= maxLoggedEntries {
+		maps.DeleteFunc(l.loggedAt, func(_ string, at time.Duration) bool { return now >= at+oddEntryLogInterval })
+	}
+	if known || len(l.loggedAt) >= maxLoggedEntries {
+		l.unlogged++
+		return 0, false
+	}
+	l.loggedAt[key] = now
+	unlogged, l.unlogged = l.unlogged, 0
+	return unlogged, true
 }
--- a/edge/host.go
+++ b/edge/host.go
@@ -62,6 +62,9 @@
 	// idleTickPending is set while an idle tick waits to be processed.
 	idleTickPending atomic.Bool
 
+	// Only the watch of the executors accesses oddEntries.
+	oddEntries entryLog
+
 	// Only the actor accesses the fields below.
 	calls         map[cell.CallID]chan cell.Answer
 	lastCall      cell.CallID
