Bound what one job's numbers add to sums

What callers saw: not seen here; found while looking for numbers that are too large. A best-effort task of 2^63-1 thousandths of a core, which reserves no processor and so fits everywhere, made the sum of its team's usage negative: the team's limit held nothing back any more. Estimates near 2^63 ms made the critical path negative, and a start or an interval near it put occurrences in the past.

Cause: sizes and estimates went into sums as they came.

A task counts at most 2^40 of each resource, more than any executor may name, and at most 2^30 ms of estimate, so that sums over the largest job stay in range; a start or an interval beyond 278 and 34 years is refused as a form that is not valid.

--- a/core/cell/runs.go
+++ b/core/cell/runs.go
@@ -16,7 +16,7 @@
 	r := &run{
 		step: s, index: index, number: number, executor: x,
 		name:     job.TaskID{Job: s.job.ID, Occurrence: s.occurrence, Step: s.index, Index: index}.String(),
-		reserved: s.ReservedSize(), charged: s.Size, throttlePercent: 100,
+		reserved: s.ReservedSize(), charged: s.ChargedSize(), throttlePercent: 100,
 	}
 	x.runs[runKey{r.name, number}] = r
 	x.runOrder = nil
--- a/core/cell/schedule.go
+++ b/core/cell/schedule.go
@@ -193,7 +193,7 @@
 	if team == nil {
 		return true
 	}
-	return k.teamUsage[team.Name].Add(s.Size.Times(int64(n))).Within(team.Limit)
+	return k.teamUsage[team.Name].Add(s.ChargedSize().Times(int64(n))).Within(team.Limit)
 }
 
 // chooseExecutor returns the best executor for a task, or nil.
--- a/core/fleet/vector.go
+++ b/core/fleet/vector.go
@@ -30,6 +30,11 @@
 	return Vector{max(v.CPU, w.CPU), max(v.Mem, w.Mem), max(v.GPU, w.GPU)}
 }
 
+// Min returns the smaller of v and w, per resource.
+func (v Vector) Min(w Vector) Vector {
+	return Vector{min(v.CPU, w.CPU), min(v.Mem, w.Mem), min(v.GPU, w.GPU)}
+}
+
 // FitsIn reports whether no component of v exceeds that of capacity.
 func (v Vector) FitsIn(capacity Vector) bool {
 	return v.CPU <= capacity.CPU && v.Mem <= capacity.Mem && v.GPU <= capacity.GPU
--- a/core/job/job.go
+++ b/core/job/job.go
@@ -16,8 +16,17 @@
 	// maxTaskWork limits the estimated work of one task, so that sums over MaxTasks do
 	// not overflow.
 	maxTaskWork = 1 << 45
+	// maxEstimateMs limits the estimate of one task, so that sums over MaxSteps and their
+	// multiples do not overflow.
+	maxEstimateMs = 1 << 30
+	// maxStartMs and maxIntervalMs limit the times of occurrences.
+	maxStartMs, maxIntervalMs = 1 << 43, 1 << 40
 )
 
+// maxSize is the largest size of a task that counts: more than any executor has, and
+// so little that sums over MaxTasks do not overflow.
+var maxSize = fleet.Vector{CPU: 1 << 40, Mem: 1 << 40, GPU: 1 << 40}
+
 // State is the state of a job as its caller sees it.
 type State string
 
@@ -99,13 +108,16 @@
 
 // ReservedSize returns the part of an executor's capacity that a task reserves.
 func (s *Step) ReservedSize() fleet.Vector {
-	size := s.Size
+	size := s.ChargedSize()
 	if s.BestEffort {
 		size.CPU = 0
 	}
 	return size
 }
 
+// ChargedSize returns what a task counts against its team's limit, at most maxSize.
+func (s *Step) ChargedSize() fleet.Vector { return s.Size.Min(maxSize) }
+
 // TaskWork returns the estimated processor time of one task, in thousandths of a core
 // times milliseconds, at most maxTaskWork.
 func (s *Step) TaskWork() int64 {
@@ -115,9 +127,9 @@
 	return s.Size.CPU * s.EstimateMs
 }
 
-// Estimate returns the caller's estimate of a task's run time.
+// Estimate returns the caller's estimate of a task's run time, at most maxEstimateMs.
 func (s *Step) Estimate() time.Duration {
-	return time.Duration(s.EstimateMs) * time.Millisecond
+	return time.Duration(min(s.EstimateMs, maxEstimateMs)) * time.Millisecond
 }
 
 // CriticalPath returns the length of the critical path: the largest sum of
@@ -171,6 +183,8 @@
 		return fmt.Errorf("%d steps, at most %d", len(j.Steps), MaxSteps)
 	case j.OccurrenceCount < 0 || j.IntervalMs < 0:
 		return fmt.Errorf("negative times or interval")
+	case j.StartMs > maxStartMs || j.IntervalMs > maxIntervalMs:
+		return fmt.Errorf("start or interval out of range")
 	}
 	tasks := 0
 	for i := range j.Steps {
--- a/core/job/job_test.go
+++ b/core/job/job_test.go
@@ -19,6 +19,8 @@
 		"tasks that overflow":       {Steps: []job.Step{{Count: math.MaxInt}, {Count: math.MaxInt}, {Count: 2}}},
 		"occurrences":               {Steps: []job.Step{one}, OccurrenceCount: job.MaxTasks + 1},
 		"occurrences and tasks":     {Steps: []job.Step{{Count: 1000}}, OccurrenceCount: 101},
+		"start that overflows":      {Steps: []job.Step{one}, OccurrenceCount: 2, StartMs: math.MaxInt64},
+		"interval that overflows":   {Steps: []job.Step{one}, OccurrenceCount: 2, IntervalMs: math.MaxInt64},
 		"occurrences that overflow": {Steps: []job.Step{one}, OccurrenceCount: math.MaxInt},
 	} {
 		t.Run(name, func(t *testing.T) { require.Error(t, j.Check()) })
@@ -33,4 +35,13 @@
 	require.Positive(t, j.EstimatedWork())
 	j.Steps[0] = job.Step{Count: 3, Size: fleet.Vector{CPU: 8500}, EstimateMs: 800}
 	require.Equal(t, int64(3*8500*800), j.EstimatedWork())
+	j.Steps = nil
+	for i := range job.MaxSteps {
+		j.Steps = append(j.Steps, job.Step{Count: 1, EstimateMs: math.MaxInt64, Size: fleet.Vector{CPU: math.MaxInt64, Mem: math.MaxInt64, GPU: math.MaxInt64}, After: []int{max(i-1, 0)}[:min(i, 1)]})
+	}
+	require.NoError(t, j.Check())
+	require.Greater(t, j.CriticalPath(), j.Steps[0].Estimate())
+	for _, sum := range []fleet.Vector{j.Steps[0].ReservedSize().Times(job.MaxTasks), j.Steps[0].ChargedSize().Times(job.MaxTasks)} {
+		require.Positive(t, min(sum.CPU, sum.Mem, sum.GPU))
+	}
 }
