Hold deep messages and documents at one error each

A stream's message of 11,000 or 1,000,000 levels is refused by itself, 9,000 levels in an unknown field are skipped, and the next message arrives. A document of the own interface with such values, with numbers that are too large or fractions, or with addresses without a usable port gives findings at once.

--- a/common/jsonstream/stream_test.go
+++ b/common/jsonstream/stream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
@@ -164,3 +165,35 @@
 	require.Error(t, err)
 	require.False(t, errors.As(err, &malformed))
 }
+
+// TestDeepMessageLeavesStreamUsable sends messages of many levels: those that are too deep
+// are refused one by one, and the next message arrives.
+func TestDeepMessageLeavesStreamUsable(t *testing.T) {
+	nest := func(levels int) json.RawMessage {
+		return json.RawMessage(strings.Repeat("[", levels) + strings.Repeat("]", levels))
+	}
+	url := serveStreams(t, testSilence, func(s *Stream) {
+		for _, levels := range []int{11_000, 1_000_000} {
+			// Send would not encode them.
+			line := `{"text":` + string(nest(levels)) + "}\n"
+			if s.write([]byte(line)) != nil {
+				return
+			}
+		}
+		_ = s.Send(struct {
+			More json.RawMessage `json:"more"`
+		}{nest(9000)})
+		_ = s.Send(testMessage{"last"})
+	})
+	s, err := Open(t.Context(), http.DefaultClient, url, Options{Answer: testSilence, Silence: testSilence})
+	require.NoError(t, err)
+	defer s.Close()
+	var m testMessage
+	for range 2 {
+		var malformed *DecodeError
+		require.ErrorAs(t, s.Receive(&m), &malformed)
+	}
+	require.NoError(t, s.Receive(&m), "an unknown field is skipped")
+	require.NoError(t, s.Receive(&m))
+	require.Equal(t, "last", m.Text)
+}
--- a/core/config/config_test.go
+++ b/core/config/config_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -172,3 +173,41 @@
 		require.Equal(t, int64(1), config.NewView(state, nil).Revision)
 	})
 }
+
+// TestDeepOrHugeValueGivesFindings puts values of many levels, numbers that are too large
+// and ports out of range into a document: each gives findings, at once.
+func TestDeepOrHugeValueGivesFindings(t *testing.T) {
+	nest := func(levels int) string { return strings.Repeat("[", levels) + strings.Repeat("]", levels) }
+	for _, levels := range []int{100, 9_000, 11_000, 1_000_000} {
+		for _, document := range []string{
+			nest(levels),
+			strings.Replace(validDocument, `"name": "dc1"`, `"name": `+nest(levels), 1),
+			strings.Replace(validDocument, `"rules":`, `"more": `+nest(levels)+`, "rules":`, 1),
+		} {
+			began := time.Now()
+			_, findings := config.Decode("f.json", []byte(document))
+			require.NotEmpty(t, findings)
+			// Quadratic time would be minutes.
+			require.Less(t, time.Since(began), 5*time.Second)
+		}
+	}
+	for _, change := range [][2]string{
+		{`"slots": 8`, `"slots": 1e400`},
+		{`"slots": 8`, `"slots": 9223372036854775808`},
+		{`"slots": 8`, `"slots": -9223372036854775808`},
+		{`"slots": 8`, `"slots": 1.5`},
+		{`"limit": 10`, `"limit": 1e400`},
+		{`"share": 2`, `"share": 1e400`},
+		{`10.0.0.1:80`, `10.0.0.1:0`},
+		{`10.0.0.1:80`, `10.0.0.1:65536`},
+		{`10.0.0.1:80`, `10.0.0.1:-1`},
+		{`10.0.0.1:80`, `10.0.0.1`},
+		{`10.0.0.1:80`, `:80`},
+	} {
+		doc, findings := config.Decode("f.json", []byte(strings.Replace(validDocument, change[0], change[1], 1)))
+		if len(findings) == 0 {
+			findings = config.CheckReferences(&doc)
+		}
+		require.NotEmpty(t, findings, "%s", change[1])
+	}
+}
