Start nothing beside a run of unknown size until a list shows its end

Cause: a new owner finds a run of a job that has ended, whose record no longer holds sizes, and orders it to stop. It kept the executor closed for the time that a stop takes, counted from the list that showed the run. When the order got lost and the next list was late, the executor opened while the run still held its room.

Now the executor stays closed until a list no longer shows such a run. Lists are asked for as often as with runs, so that it opens as soon as the run has ended.

Ruled out: executors that miss a renewal; they were closed for that.

--- a/core/cell/executors.go
+++ b/core/cell/executors.go
@@ -131,7 +131,7 @@
 	x.ackedEnd, x.seenEnd, x.clockMs, x.grantedDeadlineMs = 0, 0, 0, 0
 	x.failureStreak, x.knownSince, x.incarnationSeenAt = 0, k.now.Monotonic, k.now.Monotonic
 	x.closedUntil, x.aliveAt = 0, 0
-	x.expectedStartMs, x.refutedStartMs = 0, 0
+	x.expectedStartMs, x.refutedStartMs, x.unsizedRuns = 0, 0, 0
 }
 
 // clockRegressionSlack is how far an executor's clock may lag behind the expected
@@ -160,7 +160,7 @@
 
 // isUsable reports whether an executor may get new work.
 func (k *Kernel) isUsable(x *executor) bool {
-	return x.listed && x.fenced && x.expectedStartMs == 0 && !x.Draining && !x.cordoned && x.misses < missThreshold &&
+	return x.listed && x.fenced && x.expectedStartMs == 0 && x.unsizedRuns == 0 && !x.Draining && !x.cordoned && x.misses < missThreshold &&
 		!k.evacuated[x.DataCentre] && x.avoidUntil <= k.now.Monotonic
 }
 
--- a/core/cell/renewal.go
+++ b/core/cell/renewal.go
@@ -80,7 +80,7 @@
 		return isolationRenewalInterval, 0
 	case x.seenEnd > x.ackedEnd:
 		return unackedRenewalInterval, 0
-	case len(x.runs) == 0:
+	case len(x.runs) == 0 && x.unsizedRuns == 0:
 		// No run can end, and the deadline only matters for starts.
 		return idleRenewalInterval, 0
 	}
@@ -168,6 +168,7 @@
 // tracks.
 func (k *Kernel) reconcileRuns(x *executor, sent time.Duration, active []fleet.ActiveRun, first bool) {
 	listed := make(map[runKey]bool, len(active))
+	x.unsizedRuns = 0
 	for _, a := range active {
 		key := runKey{a.Task, a.Run}
 		listed[key] = true
@@ -243,9 +244,7 @@
 	id, err := job.ParseTaskID(a.Task)
 	j := k.jobs[id.Job]
 	if err != nil || j == nil || id.Step >= len(j.Steps) || id.Index >= j.Steps[id.Step].Count {
-		// The size is unknown, so the executor gets no new work until the run has
-		// ended.
-		x.avoidUntil = max(x.avoidUntil, k.now.Monotonic+k.MaxStopDuration)
+		x.unsizedRuns++
 		k.emit(Stop{fleet.StopOrder{Address: x.Address, Executor: x.ID, Task: a.Task, Run: a.Run, Token: k.Token}})
 		return nil
 	}
--- a/core/cell/state.go
+++ b/core/cell/state.go
@@ -184,6 +184,9 @@
 	// used is what all runs reserve, and serviceUsed what the service runs do.
 	used, serviceUsed fleet.Vector
 	runs              map[runKey]*run
+	// unsizedRuns counts the runs in the executor's last list that nobody wants and whose
+	// size is not known. Until a list shows that they have ended nothing starts here.
+	unsizedRuns int
 	// runOrder caches the runs in the order of their names; it is nil after a change.
 	runOrder []*run
 	// clockMs is the executor's clock, as read at clockReadAt.
