--- a/core/cell/executors.go
+++ b/core/cell/executors.go
@@ -29,16 +29,46 @@
 // replaceExecutors replaces the list of registered executors.
 func (k *Kernel) replaceExecutors(executors []fleet.Executor) {
 	k.executorsListed = true
+	clear(k.unnamedPools)
 	for _, x := range k.executors {
 		x.listed = false
 	}
 	k.updateExecutors(executors)
 }
 
-// updateExecutors adds or updates executors in the list of registered ones.
+// removeExecutors removes executors from the list of registered ones.
+func (k *Kernel) removeExecutors(ids []string) {
+	for _, id := range ids {
+		delete(k.unnamedPools, id)
+		if x := k.executors[id]; x != nil {
+			x.listed = false
+		}
+	}
+}
+
+// listNamedPools lists the executors whose pool only the present configuration names.
+func (k *Kernel) listNamedPools() {
+	var named []fleet.Executor
+	for _, id := range slices.Sorted(maps.Keys(k.unnamedPools)) {
+		if e := k.unnamedPools[id]; k.config.Pool(e.Pool) != nil {
+			named = append(named, e)
+		}
+	}
+	k.updateExecutors(named)
+}
+
+// updateExecutors adds or updates executors in the list of registered ones. An entry of a
+// pool that the configuration does not name lists no executor, and changes nothing of one
+// that is known.
 func (k *Kernel) updateExecutors(executors []fleet.Executor) {
 	k.forgetExecutorIndexes()
 	for _, e := range executors {
+		if k.config.Pool(e.Pool) == nil {
+			k.removeExecutors([]string{e.ID})
+			k.unnamedPools[e.ID] = e
+			continue
+		}
+		delete(k.unnamedPools, e.ID)
 		x := k.executors[e.ID]
 		if x == nil {
 			x = &executor{Executor: e, runs: map[runKey]*run{}, knownSince: k.now.Monotonic}
@@ -47,17 +77,44 @@
 		}
 		switch {
 		case x.incarnationStartedMs != 0 && e.StartedMs > x.incarnationStartedMs:
-			k.resetIncarnation(x, e.StartedMs)
+			k.expectIncarnation(x, e.StartedMs)
 		case x.incarnationStartedMs == 0 && e.StartedMs != x.Executor.StartedMs:
 			// An answer in transit may come from the previous incarnation.
 			x.incarnationSeenAt = k.now.Monotonic
 		}
-		x.Executor = e
+		address := x.Address
+		x.Executor, x.listedAddress = e, e.Address
+		if address == x.answeredAddress {
+			// An incarnation keeps its address, so the entry may be another writer's.
+			x.Address = address
+		}
 		x.fullCapacity = x.fullCapacity.Max(e.Capacity)
 		x.listed = true
 	}
 }
 
+// changeAddress makes the next call go to the address in the entry if the last one went
+// to the address that answered before, and the other way round.
+func (x *executor) changeAddress() {
+	if x.Address == x.listedAddress && x.answeredAddress != "" {
+		x.Address = x.answeredAddress
+		return
+	}
+	x.Address = x.listedAddress
+}
+
+// expectIncarnation notes that the entry of an executor names a later start than its
+// answers. Another writer may have left the entry, so only the answer to a renewal that is
+// sent at once, or the end of its deadlines, shows whether its runs have ended.
+func (k *Kernel) expectIncarnation(x *executor, startedMs int64) {
+	if startedMs == x.expectedStartMs || startedMs == x.refutedStartMs {
+		return
+	}
+	x.expectedStartMs, x.expectedSince = startedMs, k.now.Monotonic
+	// A renewal that is under way may wait for an answer of the previous incarnation.
+	x.renewing, x.renewalEndedAt = false, 0
+}
+
 // resetIncarnation discards the runs and the state of an executor's previous
 // incarnation; startedMs is zero if the start of the new one is not known
 // yet.
@@ -74,6 +131,7 @@
 	x.ackedEnd, x.seenEnd, x.clockMs, x.grantedDeadlineMs = 0, 0, 0, 0
 	x.failureStreak, x.knownSince, x.incarnationSeenAt = 0, k.now.Monotonic, k.now.Monotonic
 	x.closedUntil, x.aliveAt = 0, 0
+	x.expectedStartMs, x.refutedStartMs, x.unsizedRuns = 0, 0, 0
 }
 
 // clockRegressionSlack is how far an executor's clock may lag behind the expected
@@ -102,7 +160,7 @@
 
 // isUsable reports whether an executor may get new work.
 func (k *Kernel) isUsable(x *executor) bool {
-	return x.listed && x.fenced && !x.Draining && !x.cordoned && x.misses < missThreshold &&
+	return x.listed && x.fenced && x.expectedStartMs == 0 && x.unsizedRuns == 0 && !x.Draining && !x.cordoned && x.misses < missThreshold &&
 		!k.evacuated[x.DataCentre] && x.avoidUntil <= k.now.Monotonic
 }
 
--- a/core/cell/renewal.go
+++ b/core/cell/renewal.go
@@ -42,7 +42,7 @@
 		if k.isDownByOrder(x) {
 			continue
 		}
-		if wait > 0 && k.hasUnresolvedRuns(x) {
+		if wait > 0 && (k.hasUnresolvedRuns(x) || x.expectedStartMs != 0) {
 			wait = 0
 		}
 		x.renewing = true
@@ -50,7 +50,7 @@
 			Address: x.Address, Executor: x.ID, Token: k.Token,
 			Acknowledged: x.ackedEnd, WaitMs: wait, DeadlineMs: k.nextDeadline(x),
 		}
-		if x.misses > 0 {
+		if x.misses > 0 || x.expectedStartMs != 0 {
 			// A new incarnation numbers its ends from the beginning, so an old number
 			// would acknowledge ends that this owner has not seen.
 			order.Acknowledged = 0
@@ -60,6 +60,10 @@
 			order.DeadlineMs = x.grantedDeadlineMs
 		}
 		x.grantedDeadlineMs = order.DeadlineMs
+		if x.expectedStartMs != 0 {
+			// The deadline is on the clock of the incarnation that may have ended.
+			order.DeadlineMs = 0
+		}
 		k.emit(Renew{order})
 	}
 }
@@ -76,7 +80,7 @@
 		return isolationRenewalInterval, 0
 	case x.seenEnd > x.ackedEnd:
 		return unackedRenewalInterval, 0
-	case len(x.runs) == 0:
+	case len(x.runs) == 0 && x.unsizedRuns == 0:
 		// No run can end, and the deadline only matters for starts.
 		return idleRenewalInterval, 0
 	}
@@ -99,8 +103,10 @@
 	if x == nil {
 		return
 	}
-	x.renewing = false
-	x.renewalEndedAt = k.now.Monotonic
+	if e.Sent >= x.expectedSince {
+		x.renewing = false
+		x.renewalEndedAt = k.now.Monotonic
+	}
 	if e.Sent < x.incarnationSeenAt {
 		return
 	}
@@ -113,6 +119,7 @@
 	default:
 		k.markSilent(x, s.Outcome)
 		x.misses++
+		x.changeAddress()
 		return
 	}
 	if s.StartedMs != 0 && s.StartedMs != x.incarnationStartedMs {
@@ -121,6 +128,11 @@
 		}
 		x.incarnationStartedMs = s.StartedMs
 	}
+	if x.expectedStartMs != 0 && e.Sent >= x.expectedSince {
+		x.expectedStartMs, x.refutedStartMs = 0, x.expectedStartMs
+		// The next renewal grants a deadline again.
+		x.renewalEndedAt = 0
+	}
 	if x.misses > 0 {
 		k.log(event.ExecutorAnswers, "executor", x.ID, "misses", x.misses)
 	}
@@ -129,6 +141,7 @@
 	if firstAnswer {
 		x.fencedAt = k.now.Monotonic
 	}
+	x.answeredAddress = x.Address
 	x.fenced, x.absent, x.lastAnswerAt, x.aliveAt = true, false, k.now.Monotonic, max(x.aliveAt, e.Sent)
 	x.clockMs, x.clockReadAt = s.ClockMs, k.now.Monotonic
 	for _, end := range s.Ended {
@@ -155,6 +168,7 @@
 // tracks.
 func (k *Kernel) reconcileRuns(x *executor, sent time.Duration, active []fleet.ActiveRun, first bool) {
 	listed := make(map[runKey]bool, len(active))
+	x.unsizedRuns = 0
 	for _, a := range active {
 		key := runKey{a.Task, a.Run}
 		listed[key] = true
@@ -230,9 +244,7 @@
 	id, err := job.ParseTaskID(a.Task)
 	j := k.jobs[id.Job]
 	if err != nil || j == nil || id.Step >= len(j.Steps) || id.Index >= j.Steps[id.Step].Count {
-		// The size is unknown, so the executor gets no new work until the run has
-		// ended.
-		x.avoidUntil = max(x.avoidUntil, k.now.Monotonic+k.MaxStopDuration)
+		x.unsizedRuns++
 		k.emit(Stop{fleet.StopOrder{Address: x.Address, Executor: x.ID, Task: a.Task, Run: a.Run, Token: k.Token}})
 		return nil
 	}
--- a/core/cell/state.go
+++ b/core/cell/state.go
@@ -160,6 +160,9 @@
 type executor struct {
 	fleet.Executor
 	listed bool
+	// listedAddress is the address in the executor's entry and answeredAddress the one at
+	// which it last answered a renewal. While it answers, Address is that one.
+	listedAddress, answeredAddress string
 	// fullCapacity is the largest capacity that the executor has had; its present one may
 	// shrink and grow.
 	fullCapacity fleet.Vector
@@ -170,12 +173,20 @@
 	// absent is true if the list of VMs shows no VM that is up with this executor.
 	absent               bool
 	incarnationStartedMs int64
+	// expectedStartMs is the start of a later incarnation that the executor's entry has
+	// named since expectedSince and that no answer has shown yet, zero if there is none.
+	// refutedStartMs is the last one that an answer has refuted.
+	expectedStartMs, refutedStartMs int64
+	expectedSince                   time.Duration
 	// incarnationSeenAt is when the present incarnation was noticed. Answers to calls
 	// that were sent earlier may come from the previous one.
 	incarnationSeenAt time.Duration
 	// used is what all runs reserve, and serviceUsed what the service runs do.
 	used, serviceUsed fleet.Vector
 	runs              map[runKey]*run
+	// unsizedRuns counts the runs in the executor's last list that nobody wants and whose
+	// size is not known. Until a list shows that they have ended nothing starts here.
+	unsizedRuns int
 	// runOrder caches the runs in the order of their names; it is nil after a change.
 	runOrder []*run
 	// clockMs is the executor's clock, as read at clockReadAt.
--- a/edge/host.go
+++ b/edge/host.go
@@ -67,6 +67,9 @@
 	// listingVMs is set while the list of VMs is read.
 	listingVMs atomic.Bool
 
+	// Only the watch of the executors accesses oddEntries.
+	oddEntries entryLog
+
 	// Only the actor accesses the fields below.
 	calls         map[cell.CallID]chan cell.Answer
 	lastCall      cell.CallID
