Say why a service task waits and when a capacity changes

Users saw a service task that did not run although there was room, and the log does not say why a task waits. Event 627 reports that an executor's capacity changed, with what its runs reserve. Both are counted in the metrics as service_tasks_waiting_s and executors_resized.

TestWaitingServiceTaskIsExplained does not compile without the events.

--- a/core/cell/executors.go
+++ b/core/cell/executors.go
@@ -52,6 +52,9 @@
 			// An answer in transit may come from the previous incarnation.
 			x.incarnationSeenAt = k.now.Monotonic
 		}
+		if x.Capacity != e.Capacity {
+			k.log(event.ExecutorResized, "executor", x.ID, "before", x.Capacity, "now", e.Capacity, "used", x.used, "runs", len(x.runs))
+		}
 		x.Executor = e
 		x.fullCapacity = x.fullCapacity.Max(e.Capacity)
 		x.listed = true
@@ -295,7 +298,7 @@
 	if t.state != taskPlaced {
 		return
 	}
-	t.state = taskWaiting
+	t.state, t.waitingSince = taskWaiting, k.now.Monotonic
 	s.waitingTasks++
 }
 
--- a/core/cell/kernel.go
+++ b/core/cell/kernel.go
@@ -130,6 +130,7 @@
 	wavesAdvancedAt  time.Duration
 	stopsCheckedAt   time.Duration
 	poolsLoggedAt    time.Duration
+	waitsLoggedAt    time.Duration
 	// vmOrderBudget is how many orders for VMs may be sent now.
 	vmOrderBudget   float64
 	vmOrderBudgetAt time.Duration
@@ -220,6 +221,7 @@
 	k.checkExecutors()
 	k.finishRecovery()
 	k.scheduleTasks()
+	k.logWaits()
 	k.lendVMs()
 	k.advanceWaves()
 	k.retryVMOrders()
--- a/core/cell/schedule.go
+++ b/core/cell/schedule.go
@@ -233,7 +233,7 @@
 
 // fits reports whether an executor has room for a task and meets its requirements.
 func (k *Kernel) fits(x *executor, s *stepRun, need fleet.Vector) bool {
-	if x.avoidUntil > k.now.Monotonic || !x.used.Add(need).FitsIn(x.Capacity) || (s.Label != "" && !x.HasLabel(s.Label)) {
+	if x.avoidUntil > k.now.Monotonic || !hasRoom(x, s, need) {
 		return false
 	}
 	if s.tickets != nil {
--- a/core/cell/state.go
+++ b/core/cell/state.go
@@ -97,7 +97,9 @@
 	// how often in a row a service task failed soon after its start.
 	straggled, promptFailures int
 	retryAt                   time.Duration
-	currentRun                *run
+	// waitingSince is when the task last began to wait for an executor again.
+	waitingSince time.Duration
+	currentRun   *run
 	// crashes holds the crashes of executors under the task. The task does not start
 	// again before the write crashesWrite has stored it, or until crashHoldUntil.
 	crashes        suspicion.Record
--- a/core/cell/world_test.go
+++ b/core/cell/world_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"jacinthwind/core/cell"
+	"jacinthwind/core/event"
 	"jacinthwind/core/fleet"
 	"jacinthwind/core/job"
 )
@@ -93,6 +94,8 @@
 	failServices func(task string) bool
 	// refuseStarts reports whether an executor refuses a start for want of capacity.
 	refuseStarts func() bool
+	// logged holds the log events that explain waits and capacities.
+	logged []cell.Log
 	// decisionTime is the real time that the kernels have taken.
 	decisionTime time.Duration
 }
@@ -424,6 +427,9 @@
 func (w *world) executeEffect(k *cell.Kernel, effect cell.Effect) {
 	switch e := effect.(type) {
 	case cell.Log:
+		if e.Event == event.TaskWaits || e.Event == event.ExecutorResized {
+			w.logged = append(w.logged, e)
+		}
 		if os.Getenv("TRACE") != "" {
 			fmt.Println(w.now-time.Hour, e.Event, e.Fields)
 		}
--- a/core/event/platform.go
+++ b/core/event/platform.go
@@ -17,12 +17,14 @@
 	JobFailed             Number = 612
 	RunStraggles          Number = 613
 	TaskGivenUp           Number = 614
+	TaskWaits             Number = 615
 	ExecutorSilent        Number = 621
 	ExecutorAnswers       Number = 622
 	ExecutorAvoided       Number = 623
 	ExecutorReborn        Number = 624
 	ExecutorRemoved       Number = 625
 	ExecutorLost          Number = 626
+	ExecutorResized       Number = 627
 	MoveOrdered           Number = 631
 	UpkeepOrdered         Number = 632
 	VMOrderAnswered       Number = 633
@@ -87,12 +89,14 @@
 		JobFailed:             "a job failed: one of its tasks failed as often as its queue allows",
 		RunStraggles:          "a run that makes no or too little progress is stopped to run elsewhere",
 		TaskGivenUp:           "a task is given up since it crashes the executors that start it",
+		TaskWaits:             "the service task that has waited longest for an executor of a pool, and why it does not start",
 		ExecutorSilent:        "an executor does not answer",
 		ExecutorAnswers:       "an executor answers again",
 		ExecutorAvoided:       "an executor that failed runs gets no work for a while",
 		ExecutorReborn:        "an executor has a new incarnation",
 		ExecutorRemoved:       "an executor that is no longer listed was forgotten",
 		ExecutorLost:          "an executor ended or stayed out of reach with runs in progress",
+		ExecutorResized:       "an executor offers more or less capacity than before",
 		MoveOrdered:           "a VM was ordered to move to another pool",
 		UpkeepOrdered:         "the maintenance of a VM was ordered",
 		VMOrderAnswered:       "an order for a VM was answered or got no answer",
@@ -151,6 +155,7 @@
 	ExecutorLost:         true,
 	RecordSkipped:        true,
 	TaskGivenUp:          true,
+	TaskWaits:            true,
 	RunNotWanted:         true,
 	RunStraggles:         true,
 	ExecutorSilent:       true,
--- a/edge/call_metrics.go
+++ b/edge/call_metrics.go
@@ -34,10 +34,12 @@
 // eventCounters names the counters of the events whose number matters more than any
 // single one.
 var eventCounters = map[event.Number]string{
-	event.ExecutorLost: "executors_lost",
-	event.RunLost:      "runs_lost",
-	event.JobFailed:    "jobs_failed",
-	event.TaskGivenUp:  "tasks_given_up",
+	event.ExecutorLost:    "executors_lost",
+	event.ExecutorResized: "executors_resized",
+	event.RunLost:         "runs_lost",
+	event.JobFailed:       "jobs_failed",
+	event.TaskGivenUp:     "tasks_given_up",
+	event.TaskWaits:       "service_tasks_waiting_s",
 }
 
 // countEvent counts an event that has a counter.
