Hold no service task, and no task for long, for the rack of its data

Callers saw a service task that did not run although two executors had room (LOST). A step whose data lies in a rack waits for that rack for up to half of the time that it loses elsewhere, from its estimate: with an estimate of 8 s and a factor of 3 that is 8 s, during which a job may have nothing running. A service task has no end that its rack brings nearer, so it does not wait; others wait for at most 2 s, below the 3 s that the rule allows.

That this is what users saw is not shown.

--- a/core/cell/schedule.go
+++ b/core/cell/schedule.go
@@ -20,6 +20,9 @@
 	// starvationLimit is how late a step may become before it precedes the steps that
 	// can still meet their objective, so that all accepted work gets done.
 	starvationLimit = 10 * time.Second
+	// maxRackWait is the longest time that a step waits for the rack of its data: for 3 s
+	// a job may have nothing running while executors have room.
+	maxRackWait = 2 * time.Second
 	// maxServiceTasksTogether is how many service tasks of a step share an executor
 	// while other executors have capacity.
 	maxServiceTasksTogether = 2
@@ -220,10 +223,13 @@
 // shouldWaitForRack reports whether a step should wait for an executor in the rack
 // of its data. It waits for at most half of the time that it would lose elsewhere,
 // since the length of the wait is unknown, and only while it can meet its
-// objective.
+// objective. A service task has no end that its rack would bring nearer.
 func (k *Kernel) shouldWaitForRack(s *stepRun) bool {
+	if s.Service {
+		return false
+	}
 	loss := time.Duration((k.OffRackFactor - 1) * float64(s.Estimate()))
-	return k.now.Monotonic < s.readyAt+loss/2 && k.latenessRank(s) == 0
+	return k.now.Monotonic < s.readyAt+min(loss/2, maxRackWait) && k.latenessRank(s) == 0
 }
 
 // canRun reports whether an executor meets the requirements of a step.
