Open an executor that a wave empties to a service task that waits

Callers saw service tasks that did not run although executors had room (LOST). A wave cordons more executors than are down and stops their service tasks one by one, as the disruption budget of their step allows. In a pool without other room the stopped task waits, the budget forbids to stop the next one while it does, and the executors with room stay cordoned without end. Executors whose rooms have shrunk make such pools common, since the lending counts whole VMs.

That this is what users saw is not shown. TestWaveDoesNotHoldRoomFromServiceTask failed before: of four tasks one did not run for the rest of the play.

--- a/core/cell/executors.go
+++ b/core/cell/executors.go
@@ -104,8 +104,11 @@
 }
 
 // isUsable reports whether an executor may get new work.
-func (k *Kernel) isUsable(x *executor) bool {
-	return x.listed && x.fenced && !x.Draining && !x.cordoned && x.misses < missThreshold &&
+func (k *Kernel) isUsable(x *executor) bool { return !x.cordoned && k.isUsableUncordoned(x) }
+
+// isUsableUncordoned reports whether an executor might get new work if it were not cordoned.
+func (k *Kernel) isUsableUncordoned(x *executor) bool {
+	return x.listed && x.fenced && !x.Draining && x.misses < missThreshold &&
 		!k.evacuated[x.DataCentre] && x.avoidUntil <= k.now.Monotonic
 }
 
--- a/core/cell/state.go
+++ b/core/cell/state.go
@@ -225,6 +225,9 @@
 	lastVM string
 	// cordoned executors get no new work because their VM is to be taken away.
 	cordoned bool
+	// cordonAfter is until when the executor is not cordoned for a wave, since a task that
+	// waited was let in.
+	cordonAfter time.Duration
 	// maintenanceDue is true if a wave will take the VM down.
 	maintenanceDue bool
 	// lastBusyAt is when the executor last had a run.
--- a/core/cell/wait_test.go
+++ b/core/cell/wait_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"jacinthwind/core/cell"
 	"jacinthwind/core/fleet"
 )
 
@@ -39,3 +40,29 @@
 		})
 	}
 }
+
+// TestWaveDoesNotHoldRoomFromServiceTask guards against a service task that was stopped for a
+// wave and never ran again: the wave held all room, and the budget of the step forbade to
+// empty the executors while the task waited.
+func TestWaveDoesNotHoldRoomFromServiceTask(t *testing.T) {
+	w := newWorld(t, 2)
+	w.advance(time.Second)
+	j := simpleJob(1, 4, 4000)
+	j.Steps[0].Service, j.Steps[0].MaxUnavailable = true, 1
+	w.submitJob(j)
+	w.advance(2 * time.Second)
+	require.Equal(t, map[string]int{"e0": 2, "e1": 2}, w.countRuns(j.ID))
+	w.step(cell.WavesUpdated{Waves: []fleet.Wave{{Number: 1, VMs: []string{"vm-e0", "vm-e1"}, TimeLimitS: 60, MaxDown: 1}}})
+	fewFor := time.Duration(0)
+	for range 400 {
+		w.advance(50 * time.Millisecond)
+		running := 0
+		for _, n := range w.countRuns(j.ID) {
+			running += n
+		}
+		if fewFor += 50 * time.Millisecond; running == 4 {
+			fewFor = 0
+		}
+		require.Less(t, fewFor, 6*time.Second, "at %v", w.now)
+	}
+}
--- a/core/cell/wave.go
+++ b/core/cell/wave.go
@@ -144,6 +144,9 @@
 		}
 		k.advanceWave(w)
 	}
+	if advance {
+		k.openForWaiting()
+	}
 	due := k.now.Monotonic >= k.vmsRequestedAt+cmp.Or(k.ListVMsInterval, listVMsInterval)
 	if due && (busy || k.vmsListedAt == 0 || k.needsVMList()) {
 		k.vmsRequestedAt = k.now.Monotonic
@@ -206,7 +209,9 @@
 		// The last VMs in the order run service tasks. Their disruption budgets take
 		// time, so some of them are emptied from the start.
 		emptyEarly := i >= len(open)-1-maxDown/serviceVMDivisor && x.countServiceRuns() > 0
-		x.cordoned = x.cordoned || i < maxDown+extraCordons-down || emptyEarly
+		if k.now.Monotonic >= x.cordonAfter {
+			x.cordoned = x.cordoned || i < maxDown+extraCordons-down || emptyEarly
+		}
 		x.maintenanceDue = true
 		if x.cordoned {
 			k.evictServiceRuns(x)
