Let a team exceed its limit by one task below half of it

Callers saw tasks that did not run although executors had room and their team used less than half of its limit (LOST). A task that is larger than the rest of the limit did not start, and one that is larger than the whole limit, or a gang whose members together are, never did. The rule on limits allows what runs to exceed the limit by one task, so a team below half of each limited resource now starts such a task, or a gang that exceeds the limit by one member at most.

That this is what users saw is not shown. TestTaskLargerThanRestOfLimitRuns failed before in the three cases that now start.

--- a/core/cell/schedule.go
+++ b/core/cell/schedule.go
@@ -190,13 +190,24 @@
 	return s.Label == "" && s.Rack == "" && s.PerExecutor == 0 && s.tickets == nil
 }
 
-// withinTeamLimit reports whether n more tasks stay within the team's limit.
+// withinTeamLimit reports whether n more tasks stay within the team's limit. A team that
+// uses less than half of it may exceed it by one task, since a task or a gang that is larger
+// than the rest might never start.
 func (k *Kernel) withinTeamLimit(s *stepRun, n int) bool {
 	team := k.config.Team(s.job.Team)
 	if team == nil {
 		return true
 	}
-	return k.teamUsage[team.Name].Add(s.Size.Times(int64(n))).Within(team.Limit)
+	used := k.teamUsage[team.Name]
+	if used.Add(s.Size.Times(int64(n))).Within(team.Limit) {
+		return true
+	}
+	return isBelowHalf(used, team.Limit) && used.Add(s.Size.Times(int64(n-1))).Within(team.Limit)
+}
+
+// isBelowHalf reports whether each limited resource is used to less than half.
+func isBelowHalf(used, limit fleet.Vector) bool {
+	return (limit.CPU == 0 || used.CPU*2 < limit.CPU) && (limit.Mem == 0 || used.Mem*2 < limit.Mem) && (limit.GPU == 0 || used.GPU*2 < limit.GPU)
 }
 
 // chooseExecutor returns the best executor for a task, or nil.
--- a/core/cell/wait_test.go
+++ b/core/cell/wait_test.go
@@ -66,3 +66,43 @@
 		require.Less(t, fewFor, 6*time.Second, "at %v", w.now)
 	}
 }
+
+// TestTaskLargerThanRestOfLimitRuns guards against a task that never starts since it is larger
+// than what its team may still use, while the team uses less than half of its limit.
+func TestTaskLargerThanRestOfLimitRuns(t *testing.T) {
+	for name, c := range map[string]struct {
+		used, size, want int64
+		count            int
+		gang             bool
+	}{
+		"larger than the limit":          {used: 0, size: 7000, count: 3, want: 1},
+		"larger than the rest":           {used: 2900, size: 4000, count: 3, want: 1},
+		"half of the limit is in use":    {used: 3000, size: 4000, count: 1, want: 0},
+		"gang above by one task":         {used: 2900, size: 3000, count: 2, gang: true, want: 2},
+		"gang above by more than a task": {used: 2900, size: 2000, count: 4, gang: true, want: 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 3)
+			config := *w.config
+			config.Version++
+			config.Teams = []fleet.Team{{Name: "notaries", Keys: []string{"k"}, Share: 1, Limit: fleet.Vector{CPU: 6000}}}
+			config.Index()
+			w.step(cell.Configured{Configuration: &config})
+			w.taskTime = func(string, int) (time.Duration, fleet.RunEnd) { return time.Minute, fleet.EndDone }
+			w.advance(time.Second)
+			if c.used > 0 {
+				w.submitJob(simpleJob(1, 1, c.used))
+				w.advance(200 * time.Millisecond)
+			}
+			j := simpleJob(2, c.count, c.size)
+			j.Steps[0].Gang = c.gang
+			w.submitJob(j)
+			w.advance(500 * time.Millisecond)
+			running := int64(0)
+			for _, n := range w.countRuns(j.ID) {
+				running += int64(n)
+			}
+			require.Equal(t, c.want, running)
+		})
+	}
+}
