Keep an order for a VM in its record for its lease from its sending

The record that names the VMs with recent orders kept a VM for the lease from the time at which the record was written, but a record that waits for the store lets its order go out later, and an unanswered order is sent again each second. The next record then dropped the VM too early. The time now counts from the last sending.

TestLateVMOrderStaysInItsRecord failed before: the new owner ordered 0.67 s too early.

--- a/core/cell/kernel.go
+++ b/core/cell/kernel.go
@@ -114,7 +114,7 @@
 	vmsListedAt     time.Duration
 	vmsRequestedAt  time.Duration
 	vmOrders        map[string]vmOrder
-	// orderRecordedAt holds when an order for a VM was last recorded. inheritedOrders
+	// orderRecordedAt holds when an order for a VM was last recorded or sent. inheritedOrders
 	// holds the VMs for which an earlier owner recently recorded an order.
 	orderRecordedAt map[string]time.Duration
 	inheritedOrders map[string]bool
--- a/core/cell/vm_order.go
+++ b/core/cell/vm_order.go
@@ -131,6 +131,8 @@
 	}
 	o.recorded, o.sentAt = true, k.now.Monotonic
 	k.vmOrders[vm] = o
+	// The record may have waited for the store, and the order may be a repeated one.
+	k.orderRecordedAt[vm] = k.now.Monotonic
 	if o.pool != "" {
 		k.emit(MoveVM{VM: vm, Pool: o.pool, Token: k.Token})
 		return
