Check in random plays that nothing waits beside room for it

The random tests of the kernel only looked at the end of a play whether all jobs were done. They now check every 50 ms of play that, if the last 7 s were calm, no service task waits for 6 s, and no job with work has nothing running for 3 s, while two executors have had room for the task, its team uses less than half of its limit and, for tasks that end, the pool is used to less than half. They also check that the kernel's sums of what is in use match its runs.

TestRandomRoomsKeepTasksRunning adds rooms that shrink and grow (below what runs, to zero of a resource, reported late, in the list of VMs before or after or not at all), teams with limits, labels, racks, gangs, best-effort tasks, waves, moves and evacuations. The fake executors end a gang as one. world_test.go is divided: what concerns VMs is in vms_test.go.

--- a/core/cell/fake_executor_test.go
+++ b/core/cell/fake_executor_test.go
@@ -1,6 +1,7 @@
 package cell_test
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -22,6 +23,7 @@
 	endAt   time.Duration
 	end     fleet.RunEnd
 	service bool
+	gang    bool
 }
 
 // fakeExecutor behaves like the platform's executors: it keeps the highest token,
@@ -33,6 +35,10 @@
 	loads map[string]int64
 	// ticketsByTask holds the ticket of the last start, by task.
 	ticketsByTask map[string]string
+	// room is what the executor has; Capacity is what its entry says. entries holds what
+	// the entry said at earlier times.
+	room    fleet.Vector
+	entries []entry
 	// bootedAt is when the executor's clock was zero.
 	bootedAt time.Duration
 	token    int64
@@ -55,6 +61,24 @@
 	replacing bool
 }
 
+// entry is a capacity that an executor's entry stopped to name at a time.
+type entry struct {
+	until    time.Duration
+	capacity fleet.Vector
+}
+
+// capacitySince returns the largest capacity that the executor's entry has named since a
+// time, per resource.
+func (x *fakeExecutor) capacitySince(at time.Duration) fleet.Vector {
+	largest := x.Capacity
+	for _, e := range x.entries {
+		if e.until >= at {
+			largest = largest.Max(e.capacity)
+		}
+	}
+	return largest
+}
+
 // endRun ends a run and lists its end.
 func (x *fakeExecutor) endRun(r *fakeRun, end fleet.RunEnd) {
 	delete(x.runs, r.task)
@@ -63,6 +87,49 @@
 	x.ended = append(x.ended, fleet.EndedRun{Number: x.lastEnd, Task: r.task, Run: r.run, End: end})
 }
 
+// testGangWait is how long a member of a gang waits for the others.
+const testGangWait = 2 * time.Second
+
+// endRun ends a run, and with it the other members of a gang. A gang can only be done or fail
+// once all its members are there.
+func (w *world) endRun(x *fakeExecutor, r *fakeRun, end fleet.RunEnd) {
+	if !r.gang {
+		x.endRun(r, end)
+		return
+	}
+	id, err := job.ParseTaskID(r.task)
+	require.NoError(w.t, err)
+	members := map[*fakeRun]*fakeExecutor{}
+	for _, other := range w.executors {
+		for _, run := range other.runs {
+			if o, err := job.ParseTaskID(run.task); err == nil && o.Job == id.Job && o.Step == id.Step && run.run == r.run {
+				members[run] = other
+			}
+		}
+	}
+	isComplete := len(members) == w.specs[id.Job].Steps[id.Step].Count
+	switch {
+	case !isComplete && (end == fleet.EndDone || end == fleet.EndFailed):
+		if w.now < r.startAt+testGangWait {
+			return
+		}
+		x.endRun(r, fleet.EndGangIncomplete)
+	case end == fleet.EndDone:
+		for _, member := range slices.SortedFunc(maps.Keys(members), compareRuns) {
+			members[member].endRun(member, end)
+		}
+	default:
+		x.endRun(r, end)
+		delete(members, r)
+		for _, member := range slices.SortedFunc(maps.Keys(members), compareRuns) {
+			members[member].endRun(member, fleet.EndGangBroken)
+		}
+	}
+}
+
+// compareRuns orders runs by their tasks.
+func compareRuns(a, b *fakeRun) int { return cmp.Compare(a.task, b.task) }
+
 func (x *fakeExecutor) used() fleet.Vector {
 	var sum fleet.Vector
 	for _, r := range x.runs {
@@ -71,8 +138,9 @@
 	return sum
 }
 
-// executeStart executes a start order and checks that it violates no invariant.
-func (w *world) executeStart(o fleet.StartOrder) fleet.OrderAnswer {
+// executeStart executes a start order that was sent at the given time and checks that it
+// violates no invariant.
+func (w *world) executeStart(o fleet.StartOrder, sent time.Duration) fleet.OrderAnswer {
 	x := w.executors[o.Executor]
 	if x.unreachable || x.down {
 		return fleet.OrderAnswer{Outcome: fleet.OrderUnknown}
@@ -107,16 +175,23 @@
 		require.Nil(w.t, other.runs[o.Task], "at %v: %s run %d starts on %s while a run is active on %s", w.now, o.Task, o.Run, x.ID, other.ID)
 	}
 	require.False(w.t, w.acknowledged[o.Task], "at %v: %s starts after its successful end was acknowledged", w.now, o.Task)
-	require.True(w.t, x.used().Add(step.ReservedSize()).FitsIn(x.Capacity), "at %v: the start of %s exceeds the capacity of %s", w.now, o.Task, x.ID)
+	if w.guardsRoom && !x.used().Add(step.ReservedSize()).FitsIn(x.room) {
+		return answer(fleet.OrderNoCapacity)
+	}
+	require.True(w.t, x.used().Add(step.ReservedSize()).FitsIn(x.capacitySince(sent)), "at %v: the start of %s exceeds the capacity of %s", w.now, o.Task, x.ID)
 	if o.Ticket != "" {
 		x.ticketsByTask = map[string]string{o.Task: o.Ticket}
 	}
 	took, end := w.taskTime(o.Task, o.Run)
-	x.runs[o.Task] = &fakeRun{task: o.Task, run: o.Run, size: step.ReservedSize(), startAt: w.now, endAt: w.now + took, end: end, service: step.Service}
+	x.runs[o.Task] = &fakeRun{task: o.Task, run: o.Run, size: step.ReservedSize(), startAt: w.now, endAt: w.now + took, end: end, service: step.Service, gang: step.Gang}
 	if step.Service && w.failServices(o.Task) {
 		x.runs[o.Task].service, x.runs[o.Task].end, x.runs[o.Task].endAt = false, fleet.EndFailed, w.now+10*time.Millisecond
 	}
 	w.starts[o.Task]++
+	if w.watch != nil {
+		// The run may be shorter than the time between two checks.
+		w.watch.ranAt[o.Task], w.watch.busyAt[id.Job] = w.now, w.now
+	}
 	if d := w.crashAfter(o.Task); d > 0 {
 		w.runAfter(d, func() { w.crashUnder(x, o.Task) })
 	}
--- a/core/cell/random_test.go
+++ b/core/cell/random_test.go
@@ -22,6 +22,7 @@
 func TestRandomFaultsKeepInvariants(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		r := &randomWorld{T: t, world: newWorld(t, rapid.IntRange(1, 5).Draw(t, "executors"))}
+		r.watchRandomWaits()
 		r.advance(time.Second)
 		seed := rapid.Uint64().Draw(t, "outcomes")
 		r.taskTime = func(task string, run int) (time.Duration, fleet.RunEnd) {
@@ -44,6 +45,14 @@
 	*rapid.T
 	*world
 	jobs int
+	// losesAnswers is true while answers are lost or late.
+	losesAnswers bool
+}
+
+// watchRandomWaits makes the world check the waits from now on.
+func (r *randomWorld) watchRandomWaits() {
+	r.watchWaits()
+	r.watch.lastingDisturbance = func() bool { return r.losesAnswers }
 }
 
 // hashRun returns a number that depends only on the seed and the run.
@@ -84,7 +93,7 @@
 	case 14, 15:
 		r.loseAnswers()
 	case 16:
-		r.orderDelivery, r.answerDelay = deliverPromptly, noDelay
+		r.deliverAgain()
 	case 17:
 		r.advance(time.Duration(rapid.IntRange(1, 6).Draw(r.T, "s")) * time.Second)
 	case 18:
@@ -117,6 +126,11 @@
 	r.orderDelivery = delivery
 }
 
+// deliverAgain ends the loss of answers.
+func (r *randomWorld) deliverAgain() {
+	r.orderDelivery, r.answerDelay, r.losesAnswers = deliverPromptly, noDelay, false
+}
+
 func deliverPromptly(string, string) (time.Duration, bool) { return time.Millisecond, true }
 
 func noDelay(string) time.Duration { return 0 }
@@ -126,6 +140,7 @@
 func (r *randomWorld) loseAnswers() {
 	seed := rapid.Uint64().Draw(r.T, "losses")
 	n := 0
+	r.losesAnswers = true
 	r.orderDelivery = func(kind, _ string) (time.Duration, bool) {
 		n++
 		h := hashRun(seed, kind, n)
@@ -146,6 +161,14 @@
 
 func (r *randomWorld) drawExecutor() *fakeExecutor {
 	ids := slices.Sorted(maps.Keys(r.executors))
+	if len(ids) == 0 {
+		// All VMs are away.
+		r.advance(2 * testMoveDuration)
+		ids = slices.Sorted(maps.Keys(r.executors))
+	}
+	if len(ids) == 0 {
+		return &fakeExecutor{down: true, runs: map[string]*fakeRun{}}
+	}
 	return r.executors[rapid.SampledFrom(ids).Draw(r.T, "executor")]
 }
 
@@ -220,7 +243,7 @@
 
 // recoverAndCheck ends all faults and checks that all accepted jobs are done.
 func (r *randomWorld) recoverAndCheck() {
-	r.orderDelivery, r.answerDelay = deliverPromptly, noDelay
+	r.deliverAgain()
 	r.restoreStore()
 	for _, x := range r.executors {
 		x.unreachable, x.unreachableFor = false, nil
@@ -231,6 +254,10 @@
 	r.listExecutors()
 	// The last jobs must be stored before they can be cancelled.
 	r.advance(time.Second)
+	if r.watch != nil {
+		// The waits count from the end of the faults.
+		r.advance(calmTime + time.Second)
+	}
 	// Jobs with service steps may occupy all the capacity.
 	for _, id := range slices.Sorted(maps.Keys(r.specs)) {
 		if r.specs[id].HasService() {
@@ -302,6 +329,7 @@
 			n++
 		}
 		r.listExecutors()
+		r.watchRandomWaits()
 		r.advance(time.Second)
 		seed := rapid.Uint64().Draw(t, "outcomes")
 		r.taskTime = func(task string, run int) (time.Duration, fleet.RunEnd) {
--- a/core/cell/world_test.go
+++ b/core/cell/world_test.go
@@ -96,76 +96,24 @@
 	refuseStarts func() bool
 	// logged holds the log events that explain waits and capacities.
 	logged []cell.Log
+	// watch checks that nothing waits in vain; it is nil if that is not checked.
+	// disturbedAt is when the last disturbance ended, apart from the lasting ones.
+	watch       *waitWatch
+	disturbedAt time.Duration
+	// guardsRoom makes executors refuse what exceeds their room, like those of some pools.
+	guardsRoom bool
+	// waves and evacuated hold what operators ask for.
+	waves     []fleet.Wave
+	evacuated []string
+	// replaceVMs carries out orders for VMs and keeps count of the executors that follow.
+	replaceVMs bool
+	replaced   int
+	// off holds the executors of VMs that are away or off.
+	off map[string]*fakeExecutor
 	// decisionTime is the real time that the kernels have taken.
 	decisionTime time.Duration
 }
 
-// vmOrdered is the sender and the time of an order for a VM.
-type vmOrdered struct {
-	token int64
-	at    time.Duration
-}
-
-// testVMOrderLease is how long an order protects a VM from orders of other owners.
-const testVMOrderLease = 2 * time.Second
-
-// maintainVM takes a VM down for two seconds; it returns with a new executor.
-func (w *world) maintainVM(k *cell.Kernel, vm string) {
-	if w.maintainedVMs[vm] {
-		// A repeated order is confirmed and has no effect.
-		w.runAfter(time.Millisecond, func() { w.answerOwner(k, cell.VMOrdered{VM: vm, Outcome: fleet.VMOrderDone}) })
-		return
-	}
-	w.maintainedVMs[vm] = true
-	id := strings.TrimPrefix(vm, "vm-")
-	var x *fakeExecutor
-	for i := range w.vms {
-		if w.vms[i].Name == vm {
-			x = w.executors[w.vms[i].Executor]
-		}
-	}
-	w.crash(x)
-	w.setVM(x.ID, fleet.VMMaintenance)
-	w.listExecutors()
-	w.runAfter(time.Millisecond, func() { w.answerOwner(k, cell.VMOrdered{VM: vm, Outcome: fleet.VMOrderDone}) })
-	w.runAfter(2*time.Second, func() {
-		next := *x
-		next.ID = id + "-new"
-		next.down, next.bootedAt = false, w.now-time.Second
-		next.runs, next.highestEndedRun = map[string]*fakeRun{}, map[string]int{}
-		delete(w.executors, x.ID)
-		w.executors[next.ID] = &next
-		w.setVM(x.ID, fleet.VMUp)
-		for i := range w.vms {
-			if w.vms[i].Name == vm {
-				w.vms[i].Executor = next.ID
-			}
-		}
-		w.listExecutors()
-	})
-}
-
-// countVMsInMaintenance returns the number of VMs that are down for maintenance.
-func (w *world) countVMsInMaintenance() int {
-	n := 0
-	for _, vm := range w.vms {
-		if vm.State == fleet.VMMaintenance {
-			n++
-		}
-	}
-	return n
-}
-
-// checkVMOrder checks that an owner does not order for a VM during the lease of
-// another owner's order.
-func (w *world) checkVMOrder(vm string, token int64) {
-	last, ok := w.lastOrder[vm]
-	if ok && last.token != token {
-		require.Greater(w.t, w.now, last.at+testVMOrderLease, "a new owner ordered for %s during the lease of the earlier order", vm)
-	}
-	w.lastOrder[vm] = vmOrdered{token, w.now}
-}
-
 // delayed is an action at a later time.
 type delayed struct {
 	at time.Duration
@@ -180,6 +128,7 @@
 		acknowledged: map[string]bool{}, starts: map[string]int{},
 		throttlePercents: map[string]int{}, maintainedVMs: map[string]bool{}, moveOrdered: map[string]bool{}, maintenanceOrdered: map[string]bool{}, lastOrder: map[string]vmOrdered{},
 		lostUnder:     map[string]int{},
+		off:           map[string]*fakeExecutor{},
 		crashedUnder:  map[string]int{},
 		failServices:  func(string) bool { return false },
 		refuseStarts:  func() bool { return false },
@@ -206,6 +155,7 @@
 func (w *world) addExecutor(id string) {
 	w.executors[id] = &fakeExecutor{
 		Executor: fleet.Executor{ID: id, StartedMs: 1, Pool: "render", Address: id, DataCentre: "dc1", Capacity: fleet.Vector{CPU: 8000, Mem: 8000}, Labels: []string{"a", "r1-1"}},
+		room:     fleet.Vector{CPU: 8000, Mem: 8000},
 		runs:     map[string]*fakeRun{}, highestEndedRun: map[string]int{},
 	}
 	w.vms = append(w.vms, fleet.VM{Name: "vm-" + id, Pool: "render", State: fleet.VMUp, DataCentre: "dc1", Capacity: fleet.Vector{CPU: 8000, Mem: 8000}, Executor: id})
@@ -220,6 +170,7 @@
 
 // addOwner starts a new owner beside the earlier ones.
 func (w *world) addOwner() {
+	w.disturbedAt = w.now
 	w.token += 10
 	w.heldWrites = nil
 	w.kernel = cell.New(cell.Settings{MaxRenewalGap: testMaxRenewalGap, MaxStopDuration: testMaxStopDuration, VMOrderLease: testVMOrderLease, EndedJobRetention: time.Minute, MaintenanceDuration: 2 * time.Second, MoveDuration: 1500 * time.Millisecond, OffRackFactor: 3},
@@ -236,6 +187,12 @@
 	if len(w.waveRecord.Done) > 0 {
 		w.kernel.LoadWave(1, w.waveRecord)
 	}
+	if len(w.evacuated) > 0 {
+		w.step(cell.DataCentresEvacuated{DataCentres: w.evacuated})
+	}
+	if len(w.waves) > 0 {
+		w.step(cell.WavesUpdated{Waves: w.waves})
+	}
 	w.listExecutors()
 	w.step(cell.VMsListed{VMs: w.vms, RequestedAt: w.now})
 }
@@ -250,94 +207,22 @@
 	}
 }
 
-// crash ends an executor with all its state; it is not listed until it restarts.
-func (w *world) crash(x *fakeExecutor) {
-	x.down = true
-	for task := range x.runs {
-		w.lostUnder[task]++
-	}
-	clear(x.runs)
-	clear(x.highestEndedRun)
-	x.ended, x.lastEnd, x.ackedEnd, x.voidedEnd, x.token, x.deadline = nil, 0, 0, 0, 0, 0
-	w.setVM(x.ID, fleet.VMDown)
-}
-
-// rebootDuration is how long a VM whose executor crashed takes to start another.
-const rebootDuration = 2 * time.Second
-
-// crashUnder crashes the executor that started a task, unless the run has ended. Another
-// executor starts on the VM, under a new id and the same address.
-func (w *world) crashUnder(x *fakeExecutor, task string) {
-	if x.runs[task] == nil {
-		return
-	}
-	w.crashedUnder[task]++
-	w.crashAndReplace(x)
-	id, err := job.ParseTaskID(task)
-	require.NoError(w.t, err)
-	if !w.specs[id.Job].Steps[id.Step].Gang {
-		return
-	}
-	for _, other := range w.executors {
-		for _, r := range other.runs {
-			if member, err := job.ParseTaskID(r.task); err == nil && member.Job == id.Job && member.Step == id.Step {
-				other.endRun(r, fleet.EndGangBroken)
-			}
-		}
-	}
-}
-
-// crashAndReplace crashes an executor; another one starts on the VM.
-func (w *world) crashAndReplace(x *fakeExecutor) {
-	w.crash(x)
-	x.replacing = true
-	w.runAfter(rebootDuration, func() {
-		next := *x
-		next.replacing = false
-		next.ID = fmt.Sprintf("%s-%d", x.Address, w.now.Milliseconds())
-		next.down, next.StartedMs, next.bootedAt = false, w.now.Milliseconds(), w.now
-		next.runs, next.highestEndedRun = map[string]*fakeRun{}, map[string]int{}
-		delete(w.executors, x.ID)
-		w.executors[next.ID] = &next
-		w.setVM(x.ID, fleet.VMUp)
-		for i := range w.vms {
-			if w.vms[i].Executor == x.ID {
-				w.vms[i].Executor = next.ID
-			}
-		}
-		w.listExecutors()
-	})
-}
-
-// restart restarts a crashed executor under the same id.
-func (w *world) restart(x *fakeExecutor) {
-	x.down = false
-	x.StartedMs, x.bootedAt = w.now.Milliseconds(), w.now-time.Second
-	w.setVM(x.ID, fleet.VMUp)
-	w.listExecutors()
-}
-
 func (w *world) clockOf(x *fakeExecutor) int64 { return (w.now - x.bootedAt).Milliseconds() }
 
-// setVM sets the state of the VM of an executor.
-func (w *world) setVM(executor string, state fleet.VMState) {
-	w.vms = slices.Clone(w.vms)
-	for i := range w.vms {
-		if w.vms[i].Executor == executor {
-			w.vms[i].State = state
-		}
-	}
-}
-
 // listExecutors passes the executors that are not down to the owner.
 func (w *world) listExecutors() {
 	var listed []fleet.Executor
 	for _, id := range slices.Sorted(maps.Keys(w.executors)) {
-		if x := w.executors[id]; !x.down {
+		// An entry without processors names no usable executor.
+		if x := w.executors[id]; !x.down && x.Capacity.CPU > 0 {
 			listed = append(listed, x.Executor)
 		}
 	}
-	w.step(cell.ExecutorsListed{Executors: listed})
+	for _, k := range w.allOwners {
+		if w.alive[k] {
+			w.stepKernel(k, cell.ExecutorsListed{Executors: listed})
+		}
+	}
 }
 
 func (w *world) clock() cell.Now {
@@ -363,6 +248,9 @@
 				w.stepKernel(k, cell.Tick{})
 			}
 		}
+		if w.watch != nil {
+			w.watch.check(w)
+		}
 	}
 }
 
@@ -394,10 +282,12 @@
 	for _, task := range slices.Sorted(maps.Keys(x.runs)) {
 		r := x.runs[task]
 		switch {
+		case r == nil:
+			// It ended with another member of its gang.
 		case clock > x.deadline:
-			x.endRun(r, fleet.EndDeadlinePassed)
+			w.endRun(x, r, fleet.EndDeadlinePassed)
 		case r.endAt <= w.now && !r.service:
-			x.endRun(r, r.end)
+			w.endRun(x, r, r.end)
 		}
 	}
 }
@@ -452,7 +342,7 @@
 			// A delayed order has no effect on a later incarnation.
 			a := fleet.OrderAnswer{Outcome: fleet.OrderUnknown}
 			if x := w.executors[e.Order.Executor]; x != nil && x.StartedMs == startedMs && !x.unreachableFor[k] {
-				a = w.executeStart(e.Order)
+				a = w.executeStart(e.Order, sent)
 			}
 			if answered {
 				w.runAfter(w.answerDelay("start"), func() {
@@ -494,6 +384,10 @@
 		w.checkVMOrder(e.VM, e.Token)
 		w.moveOrdered[strings.TrimPrefix(e.VM, "vm-")] = true
 		outcome := fleet.VMOrderRefused
+		if w.replaceVMs {
+			w.replaceVM(k, e.VM, fleet.VMMoving, e.Pool)
+			return
+		}
 		if w.moveOutcome != nil {
 			outcome = w.moveOutcome(e.VM)
 		}
@@ -501,6 +395,10 @@
 	case cell.MaintainVM:
 		w.checkVMOrder(e.VM, e.Token)
 		w.maintenanceOrdered[strings.TrimPrefix(e.VM, "vm-")] = true
+		if w.replaceVMs {
+			w.replaceVM(k, e.VM, fleet.VMMaintenance, "")
+			return
+		}
 		if w.maintenanceSucceeds {
 			w.maintainVM(k, e.VM)
 			return
@@ -562,6 +460,9 @@
 
 func (w *world) cancelJob(id string) cell.CallID {
 	w.lastCall++
+	if w.watch != nil {
+		w.watch.cancelled[id] = true
+	}
 	w.step(cell.CancelRequested{Call: w.lastCall, Job: id})
 	return w.lastCall
 }
