Bring a VM with its label to a best-effort task that waits

Found by a random test: a job of best-effort tasks that require a label stayed pending for 40 s while the VMs with the label were off. Such tasks reserve no processors, so the need of their pool for the label was zero cores, and the VMs with it were moved away and not back. A task that waits now counts for at least a thousandth of a core.

TestBestEffortTaskGetsVMWithItsLabel failed before: the task did not start.

--- a/core/cell/lending.go
+++ b/core/cell/lending.go
@@ -175,6 +175,10 @@
 			cores *= immediateFraction
 			waiting += cores
 		}
+		if s.waitingTasks > 0 {
+			// A best-effort task reserves no processors, but it needs a VM with its label.
+			cores = max(cores, 1)
+		}
 		addDemands(s, cores)
 	}
 	p.NeededCores = service/1000 + max((running+waiting)/1000, k.ensurePool(p.Name).demand.Rate(k.now.Monotonic))
--- a/core/cell/vm_order_test.go
+++ b/core/cell/vm_order_test.go
@@ -27,3 +27,19 @@
 	// checkVMOrder fails if the new owner orders too early.
 	w.advance(5 * time.Second)
 }
+
+// TestBestEffortTaskGetsVMWithItsLabel guards against a best-effort task that never starts,
+// since it reserves no processors and so the pool seems not to need a VM with its label.
+func TestBestEffortTaskGetsVMWithItsLabel(t *testing.T) {
+	w := newWorld(t, 3)
+	w.replaceVMs = true
+	w.executors["e0"].Labels, w.vms[0].Labels = []string{"b"}, []string{"b"}
+	w.listExecutors()
+	w.advance(5 * time.Second)
+	require.Equal(t, "spare", w.vms[0].Pool)
+	j := simpleJob(1, 1, 1000)
+	j.Steps[0].BestEffort, j.Steps[0].Label = true, "b"
+	w.submitJob(j)
+	w.advance(8 * time.Second)
+	require.Equal(t, 1, w.starts[j.ID+".0.0.0"])
+}
