Name an order for a VM in its record however long it waited for it

Orders that wait for an earlier write are recorded by the next one, but the list of recent orders counts the lease from the decision, so that after an outage of more than the lease the record named no VM and the orders went out with it. The time now counts from the write of the record.

TestLateVMOrderStaysInItsRecord, with an earlier write in progress, failed before: the new owner ordered 1.95 s too early.

--- a/core/cell/outbox.go
+++ b/core/cell/outbox.go
@@ -56,6 +56,10 @@
 		return
 	}
 	if len(o.vmOrders) > 0 {
+		for _, vm := range o.vmOrders {
+			// Their record may have waited for earlier writes.
+			k.orderRecordedAt[vm] = k.now.Monotonic
+		}
 		o.records["orders"] = k.listRecentOrders()
 	}
 	w := Write{Remove: o.removedJobs}
--- a/core/cell/vm_order_test.go
+++ b/core/cell/vm_order_test.go
@@ -6,26 +6,41 @@
 
 	"github.com/stretchr/testify/require"
 
+	"jacinthwind/core/cell"
 	"jacinthwind/core/fleet"
 )
 
 // TestLateVMOrderStaysInItsRecord guards against a next owner that orders for a VM during the
 // lease of an order that was sent long after it was recorded, since the store was slow.
 func TestLateVMOrderStaysInItsRecord(t *testing.T) {
-	w := newWorld(t, 3)
-	w.moveOutcome = func(string) fleet.VMOrderOutcome { return fleet.VMOrderRefused }
-	w.storeDown = true
-	// Idle VMs are ordered into the spare pool.
-	w.advance(3 * time.Second)
-	require.Empty(t, w.moveOrdered)
-	w.restoreStore()
-	w.advance(100 * time.Millisecond)
-	require.NotEmpty(t, w.moveOrdered)
-	w.submitJob(simpleJob(1, 1, 1000))
-	w.advance(1100 * time.Millisecond)
-	w.replaceOwner()
-	// checkVMOrder fails if the new owner orders too early.
-	w.advance(5 * time.Second)
+	for name, busy := range map[string]bool{"the record is written late": false, "the record waits for another write": true} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 3)
+			w.moveOutcome = func(string) fleet.VMOrderOutcome { return fleet.VMOrderRefused }
+			w.storeDown = true
+			if busy {
+				w.advance(10 * time.Millisecond)
+				j := simpleJob(2, 1, 1)
+				j.Steps[0].Service, j.Steps[0].Label = true, "none"
+				w.submitJob(j)
+				w.step(cell.Tick{})
+			}
+			// Idle VMs are ordered into the spare pool.
+			w.advance(3 * time.Second)
+			require.Empty(t, w.moveOrdered)
+			w.restoreStore()
+			w.advance(40 * time.Millisecond)
+			require.NotEmpty(t, w.moveOrdered)
+			if !busy {
+				// The next orders replace the record.
+				w.submitJob(simpleJob(1, 1, 1000))
+				w.advance(1100 * time.Millisecond)
+			}
+			w.replaceOwner()
+			// checkVMOrder fails if the new owner orders too early.
+			w.advance(5 * time.Second)
+		})
+	}
 }
 
 // TestBestEffortTaskGetsVMWithItsLabel guards against a best-effort task that never starts,
