Start nothing beside a run of unknown size until it is gone

A new owner does not know the size of a run whose job has ended, since the record of an ended job has no steps. It gave the executor no work for the longest time of a stop, but the order to stop the run may be late or lost. The executor now gets no work until it no longer lists such a run, and is renewed each 250 ms until then.

TestRunOfEndedJobKeepsItsRoom failed before: a task started beside the run.

--- a/core/cell/executors.go
+++ b/core/cell/executors.go
@@ -76,7 +76,7 @@
 	x.incarnationStartedMs, x.fenced = startedMs, false
 	x.ackedEnd, x.seenEnd, x.clockMs, x.grantedDeadlineMs = 0, 0, 0, 0
 	x.failureStreak, x.knownSince, x.incarnationSeenAt = 0, k.now.Monotonic, k.now.Monotonic
-	x.closedUntil, x.aliveAt = 0, 0
+	x.closedUntil, x.aliveAt, x.hasUnknownRun = 0, 0, false
 }
 
 // clockRegressionSlack is how far an executor's clock may lag behind the expected
@@ -108,7 +108,7 @@
 
 // isUsableUncordoned reports whether an executor might get new work if it were not cordoned.
 func (k *Kernel) isUsableUncordoned(x *executor) bool {
-	return x.listed && x.fenced && !x.Draining && x.misses < missThreshold &&
+	return x.listed && x.fenced && !x.Draining && !x.hasUnknownRun && x.misses < missThreshold &&
 		!k.evacuated[x.DataCentre] && x.avoidUntil <= k.now.Monotonic
 }
 
--- a/core/cell/renewal.go
+++ b/core/cell/renewal.go
@@ -17,7 +17,7 @@
 	// that runs that end together are reported together.
 	minRenewalInterval = 30 * time.Millisecond
 	// unackedRenewalInterval is the time between renewals while run ends wait to be
-	// stored.
+	// stored, or a run of unknown size to end.
 	unackedRenewalInterval = 250 * time.Millisecond
 	missedRenewalInterval  = 300 * time.Millisecond
 	// isolationRenewalInterval is the time between renewals of an executor that is closed
@@ -74,7 +74,7 @@
 		return 0, 0
 	case k.isClosed(x):
 		return isolationRenewalInterval, 0
-	case x.seenEnd > x.ackedEnd:
+	case x.hasUnknownRun, x.seenEnd > x.ackedEnd:
 		return unackedRenewalInterval, 0
 	case len(x.runs) == 0:
 		// No run can end, and the deadline only matters for starts.
@@ -155,6 +155,7 @@
 // tracks.
 func (k *Kernel) reconcileRuns(x *executor, sent time.Duration, active []fleet.ActiveRun, first bool) {
 	listed := make(map[runKey]bool, len(active))
+	x.hasUnknownRun = false
 	for _, a := range active {
 		key := runKey{a.Task, a.Run}
 		listed[key] = true
@@ -230,9 +231,9 @@
 	id, err := job.ParseTaskID(a.Task)
 	j := k.jobs[id.Job]
 	if err != nil || j == nil || id.Step >= len(j.Steps) || id.Index >= j.Steps[id.Step].Count {
-		// The size is unknown, so the executor gets no new work until the run has
-		// ended.
-		x.avoidUntil = max(x.avoidUntil, k.now.Monotonic+k.MaxStopDuration)
+		// The size is unknown, so the executor gets no new work until it no longer lists the
+		// run.
+		x.hasUnknownRun = true
 		k.emit(Stop{fleet.StopOrder{Address: x.Address, Executor: x.ID, Task: a.Task, Run: a.Run, Token: k.Token}})
 		return nil
 	}
--- a/core/cell/state.go
+++ b/core/cell/state.go
@@ -178,6 +178,8 @@
 	// used is what all runs reserve, and serviceUsed what the service runs do.
 	used, serviceUsed fleet.Vector
 	runs              map[runKey]*run
+	// hasUnknownRun is true if the executor last listed a run whose size is not known.
+	hasUnknownRun bool
 	// runOrder caches the runs in the order of their names; it is nil after a change.
 	runOrder []*run
 	// clockMs is the executor's clock, as read at clockReadAt.
--- a/core/cell/takeover_test.go
+++ b/core/cell/takeover_test.go
@@ -248,3 +248,32 @@
 	w.advance(time.Second)
 	require.Equal(t, 2, w.starts[j.ID+".0.0.0"])
 }
+
+// TestRunOfEndedJobKeepsItsRoom guards against starts beside a run whose size is no longer
+// known, since its job has ended, while the order to stop it is late.
+func TestRunOfEndedJobKeepsItsRoom(t *testing.T) {
+	w := newWorld(t, 1)
+	w.advance(time.Second)
+	ended := simpleJob(1, 1, 8000)
+	w.submitJob(ended)
+	w.advance(2 * time.Second)
+	require.Equal(t, job.Succeeded, w.jobState(ended.ID))
+	w.orderDelivery = func(kind, _ string) (time.Duration, bool) {
+		if kind == "stop" {
+			return 3 * time.Second, false
+		}
+		return time.Millisecond, true
+	}
+	task := ended.ID + ".0.0.0"
+	delete(w.acknowledged, task)
+	w.executors["e0"].runs[task] = &fakeRun{task: task, run: 9, size: fleet.Vector{CPU: 8000}, startAt: w.now, endAt: w.now + time.Minute, end: fleet.EndDone}
+	w.advance(2100 * time.Millisecond)
+	// executeStart fails if the task starts beside the run.
+	j := simpleJob(2, 1, 4000)
+	j.Steps[0].Service = true
+	w.submitJob(j)
+	w.advance(2 * time.Second)
+	require.Zero(t, w.starts[j.ID+".0.0.0"])
+	w.advance(6 * time.Second)
+	require.Equal(t, 1, w.starts[j.ID+".0.0.0"])
+}
