Start service tasks that wait long for isolation together

Service tasks under which executors were lost soon after their start, or twice, start in isolation: one at a time on at most half of the executors, for up to 2 s each. After 3 s such a task now starts beside other suspects on an executor that is closed to all other work. It does not count as isolated there, so that a crash gives none of them up, and a task with four crashes, or one in isolation, still waits for its turn.

Found by reading. TestManySuspectsRunSoon failed before: of 32 tasks on four executors 16 did not run 7 s after the second loss.

--- a/core/cell/crash.go
+++ b/core/cell/crash.go
@@ -17,6 +17,9 @@
 	// isolationCloseTime is how long an executor gets no new work so that its runs
 	// settle and one can start in isolation.
 	isolationCloseTime = 1200 * time.Millisecond
+	// maxIsolationWait is how long a service task waits to start in isolation. It leaves time
+	// to close an executor before the 6 s in which a service task must run again.
+	maxIsolationWait = 3 * time.Second
 	// recentAnswer is how recently an executor must have answered for a run to start there
 	// in isolation: one that was lost before says nothing of the run.
 	recentAnswer = 200 * time.Millisecond
@@ -173,17 +176,53 @@
 }
 
 // chooseForIsolation returns an executor on which a task can start in isolation, or nil.
-// If there is none, it closes an executor to new work.
-func (k *Kernel) chooseForIsolation(s *stepRun, t *task, free []*executor) *executor {
+// If there is none, it closes an executor to new work. A service task that has waited for
+// long starts together with others like it; then isolated is false.
+func (k *Kernel) chooseForIsolation(s *stepRun, t *task, free []*executor) (x *executor, isolated bool) {
 	if k.isCrashUnstored(t) {
-		return nil
+		return nil, false
 	}
 	need := s.ReservedSize()
 	fitting := slices.DeleteFunc(slices.Clone(free), func(x *executor) bool { return !k.fits(x, s, need) })
+	if s.Service && t.crashes.MayJoin() && k.now.Monotonic >= max(t.waitingSince, s.readyAt)+maxIsolationWait {
+		if x := k.executorOfSuspects(fitting); x != nil {
+			x.closedUntil = max(x.closedUntil, k.now.Monotonic+isolationCloseTime)
+			return x, false
+		}
+	}
 	if found := k.executorsForIsolation(fitting); len(found) > 0 {
-		return found[0]
+		return found[0], true
+	}
+	return nil, false
+}
+
+// executorOfSuspects returns the executor with the fewest recent runs of those that have
+// survived all runs but those of suspected tasks, or nil if there is none or too many are
+// closed.
+func (k *Kernel) executorOfSuspects(fitting []*executor) *executor {
+	var best *executor
+	fewest, closed := 0, 0
+	for _, x := range fitting {
+		if k.isClosed(x) {
+			closed++
+		}
+	}
+	for _, x := range fitting {
+		if x.isolatedRuns > 0 || k.now.Monotonic > x.lastAnswerAt+recentAnswer || (!k.isClosed(x) && closed >= max(len(fitting)/maxClosedDivisor, 1)) {
+			continue
+		}
+		recent, others := 0, false
+		for _, r := range x.runs {
+			if r.state != runStopping && !suspicion.IsSettled(r.survived()) {
+				recent++
+				others = others || r.task().crashes == (suspicion.Record{})
+			}
+		}
+		if !others && (best == nil || recent < fewest) {
+			best, fewest = x, recent
+		}
 	}
-	return nil
+	return best
 }
 
 // closeForIsolation closes the executor with the fewest runs to new work, unless too many
--- a/core/cell/random_rooms_test.go
+++ b/core/cell/random_rooms_test.go
@@ -99,7 +99,7 @@
 
 // doRoomAction draws and performs one action.
 func (r *roomsWorld) doRoomAction() {
-	switch rapid.IntRange(0, 24).Draw(r.T, "act") {
+	switch rapid.IntRange(0, 26).Draw(r.T, "act") {
 	case 0, 1, 2, 3, 4:
 		r.submitShaped()
 	case 5:
@@ -135,6 +135,8 @@
 		x.unreachable = true
 		r.advance(time.Duration(rapid.IntRange(100, 6000).Draw(r.T, "ms")) * time.Millisecond)
 		x.unreachable = false
+	case 25, 26:
+		r.crashTogether()
 	case 24:
 		r.storeDown = true
 		r.advance(time.Duration(rapid.IntRange(100, 3000).Draw(r.T, "ms")) * time.Millisecond)
@@ -142,6 +144,19 @@
 	}
 }
 
+// crashTogether crashes some executors within a short time, once or twice.
+func (r *roomsWorld) crashTogether() {
+	for range rapid.IntRange(1, 2).Draw(r.T, "rounds") {
+		for range rapid.IntRange(2, 4).Draw(r.T, "crashes") {
+			if x := r.drawExecutor(); !x.down {
+				r.crashAndReplace(x)
+			}
+			r.advance(time.Duration(rapid.IntRange(0, 60).Draw(r.T, "apart ms")) * time.Millisecond)
+		}
+		r.advance(time.Duration(rapid.IntRange(2000, 4000).Draw(r.T, "ms")) * time.Millisecond)
+	}
+}
+
 // changeRoom shrinks the room of an executor, or lets it grow again.
 func (r *roomsWorld) changeRoom() {
 	x := r.drawExecutor()
--- a/core/cell/runs.go
+++ b/core/cell/runs.go
@@ -35,9 +35,9 @@
 }
 
 // startTask sends a start order for a task to an executor.
-func (k *Kernel) startTask(x *executor, s *stepRun, index, number int) {
+func (k *Kernel) startTask(x *executor, s *stepRun, index, number int, isolated bool) {
 	r := k.reserveRun(x, s, index, number)
-	if s.tasks[index].crashes.NeedsIsolation() {
+	if isolated {
 		r.isolated = true
 		x.isolatedRuns++
 	}
--- a/core/cell/schedule.go
+++ b/core/cell/schedule.go
@@ -160,8 +160,8 @@
 			return
 		}
 		if t.crashes.NeedsIsolation() {
-			if x := k.chooseForIsolation(s, t, free); x != nil {
-				k.startTask(x, s, i, max(t.highestRun, k.RunBase)+1)
+			if x, isolated := k.chooseForIsolation(s, t, free); x != nil {
+				k.startTask(x, s, i, max(t.highestRun, k.RunBase)+1, isolated)
 			}
 			continue
 		}
@@ -180,7 +180,7 @@
 			}
 			continue
 		}
-		k.startTask(x, s, i, max(t.highestRun, k.RunBase)+1)
+		k.startTask(x, s, i, max(t.highestRun, k.RunBase)+1, false)
 	}
 }
 
@@ -358,7 +358,7 @@
 			checkpoint := s.tasks[0].checkpoint
 			for i, x := range assigned {
 				s.tasks[i].checkpoint = checkpoint
-				k.startTask(x, s, i, number+1)
+				k.startTask(x, s, i, number+1, s.tasks[i].crashes.NeedsIsolation())
 			}
 			return
 		}
--- a/core/cell/wait_test.go
+++ b/core/cell/wait_test.go
@@ -1,6 +1,8 @@
 package cell_test
 
 import (
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -106,3 +108,53 @@
 		})
 	}
 }
+
+// TestManySuspectsRunSoon guards against service tasks that wait in turn to start in isolation,
+// after executors were lost under all tasks of a step.
+func TestManySuspectsRunSoon(t *testing.T) {
+	for name, c := range map[string]struct {
+		rounds int
+		after  time.Duration
+	}{
+		"lost at once":        {1, 90 * time.Millisecond},
+		"lost at once, twice": {2, 90 * time.Millisecond},
+		"lost later, twice":   {2, 600 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 4)
+			for i, id := range []string{"e0", "e1", "e2", "e3"} {
+				w.executors[id].Labels = []string{"a", []string{"r1-1", "r1-2"}[i/2]}
+			}
+			w.listExecutors()
+			w.advance(time.Second)
+			j := simpleJob(1, 32, 500)
+			j.Steps[0].Service = true
+			w.submitJob(j)
+			for range c.rounds {
+				for range 100 {
+					if w.advance(50 * time.Millisecond); w.countAllRuns(j.ID) == 32 {
+						break
+					}
+				}
+				w.advance(c.after)
+				for _, id := range slices.Sorted(maps.Keys(w.executors)) {
+					if x := w.executors[id]; len(x.runs) > 0 {
+						w.crashAndReplace(x)
+					}
+				}
+				w.advance(rebootDuration)
+			}
+			w.advance(calmTime)
+			require.Equal(t, 32, w.countAllRuns(j.ID), "lost under %v", w.lostUnder)
+		})
+	}
+}
+
+// countAllRuns returns how many runs of a job are active.
+func (w *world) countAllRuns(id string) int {
+	n := 0
+	for _, count := range w.countRuns(id) {
+		n += count
+	}
+	return n
+}
--- a/core/suspicion/record.go
+++ b/core/suspicion/record.go
@@ -81,6 +81,10 @@
 // NeedsIsolation reports whether the task may only start in isolation.
 func (r Record) NeedsIsolation() bool { return r.Prompt || r.Crashes >= maxUnisolatedCrashes }
 
+// MayJoin reports whether the task may start beside other suspected tasks if it would wait
+// too long to start in isolation.
+func (r Record) MayJoin() bool { return r.Isolated == 0 && r.Crashes < maxCrashes }
+
 // Observation returns how long an executor must survive the task until other tasks may
 // start beside it.
 func (r Record) Observation() time.Duration {
