Isolate a gang on as many executors as it needs

A gang under which an executor crashed starts in isolation and needs several executors at once that have just answered and have survived their other runs. An executor was only closed to other work if none was fit at the moment, so that beside steady other work a gang that needs more than one did not start again, with room for it (LOST). The executors that the gang needs are now chosen and closed together, and their answers may be 500 ms old, since they do not answer at the same time.

Found by reading. TestGangIsIsolatedOnSeveralExecutors failed before with three executors: the gang did not start again within 6 s.

--- a/core/cell/crash.go
+++ b/core/cell/crash.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -23,6 +24,8 @@
 	// recentAnswer is how recently an executor must have answered for a run to start there
 	// in isolation: one that was lost before says nothing of the run.
 	recentAnswer = 200 * time.Millisecond
+	// recentGangAnswer is the same for the executors of a gang, which do not answer together.
+	recentGangAnswer = 500 * time.Millisecond
 	// maxClosedDivisor gives the part of a pool that may be closed for isolated runs.
 	maxClosedDivisor = 2
 	// togetherWindow is how far apart executors that are lost for one reason fall silent.
@@ -137,9 +140,9 @@
 }
 
 // canIsolate reports whether a crash of the executor would show what a run does that
-// starts now: the executor has just answered and has survived all its other runs.
-func (k *Kernel) canIsolate(x *executor) bool {
-	if x.isolatedRuns > 0 || k.now.Monotonic > x.lastAnswerAt+recentAnswer {
+// starts now: the executor has answered recently and has survived all its other runs.
+func (k *Kernel) canIsolate(x *executor, recent time.Duration) bool {
+	if x.isolatedRuns > 0 || k.now.Monotonic > x.lastAnswerAt+recent {
 		return false
 	}
 	for _, r := range x.runs {
@@ -155,7 +158,7 @@
 func (k *Kernel) executorsForIsolation(free []*executor) []*executor {
 	var found []*executor
 	for _, x := range free {
-		if k.canIsolate(x) {
+		if k.canIsolate(x, recentAnswer) {
 			found = append(found, x)
 		}
 	}
@@ -166,6 +169,46 @@
 	return found
 }
 
+// isolateGang returns an executor for each task of a gang that starts in isolation, or nil. It
+// closes the executors that the gang needs to new work.
+func (k *Kernel) isolateGang(s *stepRun, free []*executor) []*executor {
+	need := s.ReservedSize()
+	fitting := slices.DeleteFunc(slices.Clone(free), func(x *executor) bool { return x.isolatedRuns > 0 || !k.fits(x, s, need) })
+	slices.SortStableFunc(fitting, func(a, b *executor) int {
+		return cmp.Or(cmp.Compare(k.isolationRank(a), k.isolationRank(b)), compareForIsolation(a, b))
+	})
+	for _, group := range rackGroups(s, fitting) {
+		assigned := k.assignGang(s, group, true)
+		if assigned == nil {
+			continue
+		}
+		ready := true
+		for _, x := range assigned {
+			if k.canIsolate(x, recentGangAnswer) {
+				continue
+			}
+			ready = false
+			if !k.isClosed(x) {
+				x.closedUntil = k.now.Monotonic + isolationCloseTime
+			}
+		}
+		if ready {
+			return assigned
+		}
+		return nil
+	}
+	return nil
+}
+
+// isolationRank ranks executors for a gang: those that are closed, which get no other work,
+// precede the others.
+func (k *Kernel) isolationRank(x *executor) int {
+	if k.isClosed(x) {
+		return 0
+	}
+	return 1
+}
+
 // compareForIsolation orders executors by the harm of a crash, those that have been up
 // for longer first.
 func compareForIsolation(a, b *executor) int {
--- a/core/cell/crash_test.go
+++ b/core/cell/crash_test.go
@@ -1,6 +1,10 @@
 package cell_test
 
 import (
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -229,3 +233,37 @@
 	w.requireGivenUp(t, deadly.ID)
 	require.LessOrEqual(t, w.starts[deadly.ID+".0.0.0"], 3, "the first crash was not charged as a prompt one")
 }
+
+// TestGangIsIsolatedOnSeveralExecutors guards against a gang that never starts again after a
+// crash, since it needs several executors at once that are fit for isolation and only one was
+// made so.
+func TestGangIsIsolatedOnSeveralExecutors(t *testing.T) {
+	for _, executors := range []int{3, 5} {
+		t.Run(strconv.Itoa(executors), func(t *testing.T) {
+			w := newWorld(t, executors)
+			w.taskTime = func(task string, _ int) (time.Duration, fleet.RunEnd) {
+				if strings.HasPrefix(task, simpleJob(1, 1, 1).ID) {
+					return 3 * time.Second, fleet.EndDone
+				}
+				return 70 * time.Millisecond, fleet.EndDone
+			}
+			w.advance(time.Second)
+			gang := simpleJob(1, 3, 5000)
+			gang.Steps[0].Gang = true
+			w.submitJob(gang)
+			w.advance(100 * time.Millisecond)
+			for _, id := range slices.Sorted(maps.Keys(w.executors)) {
+				if x := w.executors[id]; x.runs[gang.ID+".0.0.0"] != nil {
+					w.crashUnder(x, gang.ID+".0.0.0")
+				}
+			}
+			// Other work keeps the executors busy.
+			for n := range 120 {
+				j := simpleJob(n+2, executors, 500)
+				w.submitJob(j)
+				w.advance(50 * time.Millisecond)
+			}
+			require.Equal(t, 2, w.starts[gang.ID+".0.0.0"])
+		})
+	}
+}
--- a/core/cell/schedule.go
+++ b/core/cell/schedule.go
@@ -347,24 +347,30 @@
 		number = max(number, t.highestRun)
 		isolate = isolate || t.crashes.NeedsIsolation()
 	}
-	if isolate {
-		free = k.executorsForIsolation(free)
-	}
 	if !k.withinTeamLimit(s, s.Count) {
 		return
 	}
+	if isolate {
+		k.startGangOn(s, k.isolateGang(s, free), number)
+		return
+	}
 	for _, group := range rackGroups(s, free) {
-		if assigned := k.assignGang(s, group, isolate); assigned != nil {
-			checkpoint := s.tasks[0].checkpoint
-			for i, x := range assigned {
-				s.tasks[i].checkpoint = checkpoint
-				k.startTask(x, s, i, number+1, s.tasks[i].crashes.NeedsIsolation())
-			}
+		if assigned := k.assignGang(s, group, false); assigned != nil {
+			k.startGangOn(s, assigned, number)
 			return
 		}
 	}
 }
 
+// startGangOn starts the tasks of a gang on the executors that were assigned to them, if any.
+func (k *Kernel) startGangOn(s *stepRun, assigned []*executor, number int) {
+	checkpoint := s.tasks[0].checkpoint
+	for i, x := range assigned {
+		s.tasks[i].checkpoint = checkpoint
+		k.startTask(x, s, i, number+1, s.tasks[i].crashes.NeedsIsolation())
+	}
+}
+
 // rackGroups returns the groups of executors on which a gang may be placed, in the
 // order of preference.
 func rackGroups(s *stepRun, free []*executor) [][]*executor {
