Count what an executor offers in the lending of VMs

A pool whose executors' rooms have shrunk seemed to have enough VMs, since the lending counted whole VMs: tasks waited for room while spare VMs were off, and VMs with room were moved away as surplus. A VM now counts for what its executor offers, or for what runs there if that is more.

Found by reading. TestShrunkenVMsAreReplaced failed before: of two service tasks none ran after 5 s.

--- a/core/cell/lending.go
+++ b/core/cell/lending.go
@@ -87,6 +87,10 @@
 		x := k.executors[vm.Executor]
 		idle, canServe := k.idleTime(vm, x)
 		described := lending.VM{Name: name, IdleTime: idle, Cores: vmCores(vm), Labels: vm.Labels}
+		if x != nil && x.Pool == vm.Pool && x.listed {
+			// Its room may have shrunk, also below what runs.
+			described.Cores = min(described.Cores, float64(max(x.Capacity.CPU, x.used.CPU))/1000)
+		}
 		if moving || canServe {
 			p.Add(described)
 		}
--- a/core/cell/vm_order_test.go
+++ b/core/cell/vm_order_test.go
@@ -58,3 +58,20 @@
 	w.advance(8 * time.Second)
 	require.Equal(t, 1, w.starts[j.ID+".0.0.0"])
 }
+
+// TestShrunkenVMsAreReplaced guards against a pool that seems to have enough VMs although their
+// executors have shrunk to nearly nothing.
+func TestShrunkenVMsAreReplaced(t *testing.T) {
+	w := newWorld(t, 4)
+	w.replaceVMs = true
+	w.advance(5 * time.Second)
+	require.Len(t, w.executors, 2)
+	for _, x := range w.executors {
+		w.setRoom(x, fleet.Vector{CPU: 100, Mem: 8000}, 0, -1)
+	}
+	j := simpleJob(1, 2, 4000)
+	j.Steps[0].Service = true
+	w.submitJob(j)
+	w.advance(5 * time.Second)
+	require.Equal(t, 2, w.countAllRuns(j.ID))
+}
