--- a/core/cell/schedule.go
+++ b/core/cell/schedule.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -26,14 +25,6 @@
 	// maxServiceTasksTogether is how many service tasks of a step share an executor
 	// while other executors have capacity.
 	maxServiceTasksTogether = 2
-	// maxAdviceExecutors is the largest number of executors that one call to the
-	// advice service may name.
-	maxAdviceExecutors = 30
-	// adviceRetryInterval is the time after which missing advice is requested again.
-	adviceRetryInterval = 500 * time.Millisecond
-	// ticketMargin is how long before its expiry a ticket is no longer used, so that it
-	// does not expire before the start arrives.
-	ticketMargin = 200 * time.Millisecond
 )
 
 // scheduleTasks starts waiting tasks in all pools.
@@ -250,15 +241,18 @@
 
 // fits reports whether an executor has room for a task and meets its requirements.
 func (k *Kernel) fits(x *executor, s *stepRun, need fleet.Vector) bool {
-	if x.avoidUntil > k.now.Monotonic || !hasRoom(x, s, need) {
-		return false
-	}
 	if s.tickets != nil {
 		if _, ok := s.tickets[x.ID]; !ok {
 			return false
 		}
 	}
-	return s.PerExecutor == 0 || x.countRuns(s) < s.PerExecutor
+	return k.fitsWithTicket(x, s, need)
+}
+
+// fitsWithTicket reports whether an executor has room for a task and meets its requirements, but
+// for a ticket.
+func (k *Kernel) fitsWithTicket(x *executor, s *stepRun, need fleet.Vector) bool {
+	return x.avoidUntil <= k.now.Monotonic && hasRoom(x, s, need) && (s.PerExecutor == 0 || x.countRuns(s) < s.PerExecutor)
 }
 
 // countRuns returns how many runs of a step an executor has.
@@ -412,44 +406,3 @@
 	}
 	return executors
 }
-
-// ensureTickets reports whether valid tickets for a step are available, and
-// requests them otherwise.
-func (k *Kernel) ensureTickets(s *stepRun, free []*executor) bool {
-	if len(s.tickets) > 0 && k.now.Monotonic < s.ticketsExpireAt {
-		return true
-	}
-	if s.adviceRequestedAt == 0 || k.now.Monotonic > s.adviceRequestedAt+adviceRetryInterval {
-		s.adviceRequestedAt = k.now.Monotonic
-		request := RequestAdvice{Step: s.adviceKey()}
-		for _, x := range free[:min(len(free), maxAdviceExecutors)] {
-			request.Executors = append(request.Executors, x.ID)
-		}
-		k.emit(request)
-	}
-	return false
-}
-
-// adviceKey returns the name of the step in calls to the advice service.
-func (s *stepRun) adviceKey() string { return fmt.Sprintf("%s.%d.%d", s.job.ID, s.occurrence, s.index) }
-
-// handleAdvice stores the tickets that the advice service issued for a step.
-func (k *Kernel) handleAdvice(e AdviceReceived) {
-	var id string
-	var occurrence, step int
-	if len(e.Step) < 17 {
-		return
-	}
-	id = e.Step[:16]
-	if _, err := fmt.Sscanf(e.Step[17:], "%d.%d", &occurrence, &step); err != nil {
-		return
-	}
-	j := k.jobs[id]
-	if j == nil {
-		return
-	}
-	if s := j.stepAt(occurrence, step); s != nil && len(e.Advice.Tickets) > 0 {
-		s.tickets = e.Advice.Tickets
-		s.ticketsExpireAt = e.Sent + time.Duration(e.Advice.ValidMs)*time.Millisecond - ticketMargin
-	}
-}
--- a/core/cell/state.go
+++ b/core/cell/state.go
@@ -63,6 +63,10 @@
 	tickets           map[string]string
 	ticketsExpireAt   time.Duration
 	adviceRequestedAt time.Duration
+	// allowed holds the executors that ever got a ticket, and namedAt when an executor was
+	// last named in a request.
+	allowed map[string]bool
+	namedAt map[string]time.Duration
 	// suspected is true once an executor has crashed under one of the tasks.
 	suspected bool
 }
--- a/core/cell/wait_test.go
+++ b/core/cell/wait_test.go
@@ -1,6 +1,7 @@
 package cell_test
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"testing"
@@ -158,3 +159,42 @@
 	}
 	return n
 }
+
+// TestAdviceIsAskedOnExecutorsWithRoom guards against a task that never gets a ticket, since
+// advice was always asked on the same executors: the first of the pool.
+func TestAdviceIsAskedOnExecutorsWithRoom(t *testing.T) {
+	for name, c := range map[string]struct{ full, good func(n int) bool }{
+		"the first executors are full":        {func(n int) bool { return n < 32 }, func(int) bool { return true }},
+		"the first executors are not allowed": {func(int) bool { return false }, func(n int) bool { return n >= 32 }},
+		"a late executor is allowed":          {func(n int) bool { return n < 10 }, func(n int) bool { return n < 10 || n == 65 }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 0)
+			config := *w.config
+			config.Version++
+			config.Queues = slices.Clone(config.Queues)
+			config.Queues[0].NeedsTicket = true
+			config.Index()
+			w.config = &config
+			w.step(cell.Configured{Configuration: &config})
+			w.tickets = map[string]string{}
+			for n := range 70 {
+				id := fmt.Sprintf("e%02d", n)
+				w.addExecutor(id)
+				if c.good(n) {
+					w.tickets[id] = "t" + id
+				}
+				if c.full(n) {
+					w.executors[id].Capacity.CPU = 10
+				}
+			}
+			w.listExecutors()
+			w.advance(time.Second)
+			j := simpleJob(1, 1, 1000)
+			j.Steps[0].Service = true
+			w.submitJob(j)
+			w.advance(4 * time.Second)
+			require.Equal(t, 1, w.countAllRuns(j.ID))
+		})
+	}
+}
--- a/core/cell/world_test.go
+++ b/core/cell/world_test.go
@@ -376,7 +376,13 @@
 	case cell.RequestAdvice:
 		sent := w.now
 		w.runAfter(20*time.Millisecond, func() {
-			w.answerOwner(k, cell.AdviceReceived{Step: e.Step, Executors: e.Executors, Sent: sent, Advice: fleet.Advice{Tickets: w.tickets, ValidMs: 3000}})
+			good := map[string]string{}
+			for _, id := range e.Executors {
+				if ticket, ok := w.tickets[id]; ok {
+					good[id] = ticket
+				}
+			}
+			w.answerOwner(k, cell.AdviceReceived{Step: e.Step, Executors: e.Executors, Sent: sent, Advice: fleet.Advice{Tickets: good, ValidMs: 3000}})
 		})
 	case cell.Renew:
 		w.executeRenewal(k, e.Order)
