--- a/core/cell/crash.go
+++ b/core/cell/crash.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -17,9 +18,14 @@
 	// isolationCloseTime is how long an executor gets no new work so that its runs
 	// settle and one can start in isolation.
 	isolationCloseTime = 1200 * time.Millisecond
+	// maxIsolationWait is how long a service task waits to start in isolation. It leaves time
+	// to close an executor before the 6 s in which a service task must run again.
+	maxIsolationWait = 3 * time.Second
 	// recentAnswer is how recently an executor must have answered for a run to start there
 	// in isolation: one that was lost before says nothing of the run.
 	recentAnswer = 200 * time.Millisecond
+	// recentGangAnswer is the same for the executors of a gang, which do not answer together.
+	recentGangAnswer = 500 * time.Millisecond
 	// maxClosedDivisor gives the part of a pool that may be closed for isolated runs.
 	maxClosedDivisor = 2
 	// togetherWindow is how far apart executors that are lost for one reason fall silent.
@@ -134,9 +140,9 @@
 }
 
 // canIsolate reports whether a crash of the executor would show what a run does that
-// starts now: the executor has just answered and has survived all its other runs.
-func (k *Kernel) canIsolate(x *executor) bool {
-	if x.isolatedRuns > 0 || k.now.Monotonic > x.lastAnswerAt+recentAnswer {
+// starts now: the executor has answered recently and has survived all its other runs.
+func (k *Kernel) canIsolate(x *executor, recent time.Duration) bool {
+	if x.isolatedRuns > 0 || k.now.Monotonic > x.lastAnswerAt+recent {
 		return false
 	}
 	for _, r := range x.runs {
@@ -152,7 +158,7 @@
 func (k *Kernel) executorsForIsolation(free []*executor) []*executor {
 	var found []*executor
 	for _, x := range free {
-		if k.canIsolate(x) {
+		if k.canIsolate(x, recentAnswer) {
 			found = append(found, x)
 		}
 	}
@@ -163,6 +169,46 @@
 	return found
 }
 
+// isolateGang returns an executor for each task of a gang that starts in isolation, or nil. It
+// closes the executors that the gang needs to new work.
+func (k *Kernel) isolateGang(s *stepRun, free []*executor) []*executor {
+	need := s.ReservedSize()
+	fitting := slices.DeleteFunc(slices.Clone(free), func(x *executor) bool { return x.isolatedRuns > 0 || !k.fits(x, s, need) })
+	slices.SortStableFunc(fitting, func(a, b *executor) int {
+		return cmp.Or(cmp.Compare(k.isolationRank(a), k.isolationRank(b)), compareForIsolation(a, b))
+	})
+	for _, group := range rackGroups(s, fitting) {
+		assigned := k.assignGang(s, group, true)
+		if assigned == nil {
+			continue
+		}
+		ready := true
+		for _, x := range assigned {
+			if k.canIsolate(x, recentGangAnswer) {
+				continue
+			}
+			ready = false
+			if !k.isClosed(x) {
+				x.closedUntil = k.now.Monotonic + isolationCloseTime
+			}
+		}
+		if ready {
+			return assigned
+		}
+		return nil
+	}
+	return nil
+}
+
+// isolationRank ranks executors for a gang: those that are closed, which get no other work,
+// precede the others.
+func (k *Kernel) isolationRank(x *executor) int {
+	if k.isClosed(x) {
+		return 0
+	}
+	return 1
+}
+
 // compareForIsolation orders executors by the harm of a crash, those that have been up
 // for longer first.
 func compareForIsolation(a, b *executor) int {
@@ -173,17 +219,53 @@
 }
 
 // chooseForIsolation returns an executor on which a task can start in isolation, or nil.
-// If there is none, it closes an executor to new work.
-func (k *Kernel) chooseForIsolation(s *stepRun, t *task, free []*executor) *executor {
+// If there is none, it closes an executor to new work. A service task that has waited for
+// long starts together with others like it; then isolated is false.
+func (k *Kernel) chooseForIsolation(s *stepRun, t *task, free []*executor) (x *executor, isolated bool) {
 	if k.isCrashUnstored(t) {
-		return nil
+		return nil, false
 	}
 	need := s.ReservedSize()
 	fitting := slices.DeleteFunc(slices.Clone(free), func(x *executor) bool { return !k.fits(x, s, need) })
+	if s.Service && t.crashes.MayJoin() && k.now.Monotonic >= max(t.waitingSince, s.readyAt)+maxIsolationWait {
+		if x := k.executorOfSuspects(fitting); x != nil {
+			x.closedUntil = max(x.closedUntil, k.now.Monotonic+isolationCloseTime)
+			return x, false
+		}
+	}
 	if found := k.executorsForIsolation(fitting); len(found) > 0 {
-		return found[0]
+		return found[0], true
 	}
-	return nil
+	return nil, false
+}
+
+// executorOfSuspects returns the executor with the fewest recent runs of those that have
+// survived all runs but those of suspected tasks, or nil if there is none or too many are
+// closed.
+func (k *Kernel) executorOfSuspects(fitting []*executor) *executor {
+	var best *executor
+	fewest, closed := 0, 0
+	for _, x := range fitting {
+		if k.isClosed(x) {
+			closed++
+		}
+	}
+	for _, x := range fitting {
+		if x.isolatedRuns > 0 || k.now.Monotonic > x.lastAnswerAt+recentAnswer || (!k.isClosed(x) && closed >= max(len(fitting)/maxClosedDivisor, 1)) {
+			continue
+		}
+		recent, others := 0, false
+		for _, r := range x.runs {
+			if r.state != runStopping && !suspicion.IsSettled(r.survived()) {
+				recent++
+				others = others || r.task().crashes == (suspicion.Record{})
+			}
+		}
+		if !others && (best == nil || recent < fewest) {
+			best, fewest = x, recent
+		}
+	}
+	return best
 }
 
 // closeForIsolation closes the executor with the fewest runs to new work, unless too many
--- a/core/cell/executors.go
+++ b/core/cell/executors.go
@@ -82,6 +82,9 @@
 			// An answer in transit may come from the previous incarnation.
 			x.incarnationSeenAt = k.now.Monotonic
 		}
+		if x.Capacity != e.Capacity {
+			k.log(event.ExecutorResized, "executor", x.ID, "before", x.Capacity, "now", e.Capacity, "used", x.used, "runs", len(x.runs))
+		}
 		address := x.Address
 		x.Executor, x.listedAddress = e, e.Address
 		if address == x.answeredAddress {
@@ -159,8 +162,11 @@
 }
 
 // isUsable reports whether an executor may get new work.
-func (k *Kernel) isUsable(x *executor) bool {
-	return x.listed && x.fenced && x.expectedStartMs == 0 && x.unsizedRuns == 0 && !x.Draining && !x.cordoned && x.misses < missThreshold &&
+func (k *Kernel) isUsable(x *executor) bool { return !x.cordoned && k.isUsableUncordoned(x) }
+
+// isUsableUncordoned reports whether an executor might get new work if it were not cordoned.
+func (k *Kernel) isUsableUncordoned(x *executor) bool {
+	return x.listed && x.fenced && x.expectedStartMs == 0 && x.unsizedRuns == 0 && !x.Draining && x.misses < missThreshold &&
 		!k.evacuated[x.DataCentre] && x.avoidUntil <= k.now.Monotonic
 }
 
@@ -353,7 +359,7 @@
 	if t.state != taskPlaced {
 		return
 	}
-	t.state = taskWaiting
+	t.state, t.waitingSince = taskWaiting, k.now.Monotonic
 	s.waitingTasks++
 }
 
--- a/core/cell/kernel.go
+++ b/core/cell/kernel.go
@@ -117,7 +117,7 @@
 	vmsListedAt     time.Duration
 	vmsRequestedAt  time.Duration
 	vmOrders        map[string]vmOrder
-	// orderRecordedAt holds when an order for a VM was last recorded. inheritedOrders
+	// orderRecordedAt holds when an order for a VM was last recorded or sent. inheritedOrders
 	// holds the VMs for which an earlier owner recently recorded an order.
 	orderRecordedAt map[string]time.Duration
 	inheritedOrders map[string]bool
@@ -133,6 +133,7 @@
 	wavesAdvancedAt  time.Duration
 	stopsCheckedAt   time.Duration
 	poolsLoggedAt    time.Duration
+	waitsLoggedAt    time.Duration
 	// vmOrderBudget is how many orders for VMs may be sent now.
 	vmOrderBudget   float64
 	vmOrderBudgetAt time.Duration
@@ -219,6 +220,7 @@
 	k.checkExecutors()
 	k.finishRecovery()
 	k.scheduleTasks()
+	k.logWaits()
 	k.lendVMs()
 	k.advanceWaves()
 	k.retryVMOrders()
--- a/core/cell/renewal.go
+++ b/core/cell/renewal.go
@@ -17,7 +17,7 @@
 	// that runs that end together are reported together.
 	minRenewalInterval = 30 * time.Millisecond
 	// unackedRenewalInterval is the time between renewals while run ends wait to be
-	// stored.
+	// stored, or a run of unknown size to end.
 	unackedRenewalInterval = 250 * time.Millisecond
 	missedRenewalInterval  = 300 * time.Millisecond
 	// isolationRenewalInterval is the time between renewals of an executor that is closed
@@ -78,9 +78,9 @@
 		return 0, 0
 	case k.isClosed(x):
 		return isolationRenewalInterval, 0
-	case x.seenEnd > x.ackedEnd:
+	case x.unsizedRuns > 0, x.seenEnd > x.ackedEnd:
 		return unackedRenewalInterval, 0
-	case len(x.runs) == 0 && x.unsizedRuns == 0:
+	case len(x.runs) == 0:
 		// No run can end, and the deadline only matters for starts.
 		return idleRenewalInterval, 0
 	}
--- a/core/cell/schedule.go
+++ b/core/cell/schedule.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -20,17 +19,12 @@
 	// starvationLimit is how late a step may become before it precedes the steps that
 	// can still meet their objective, so that all accepted work gets done.
 	starvationLimit = 10 * time.Second
+	// maxRackWait is the longest time that a step waits for the rack of its data: for 3 s
+	// a job may have nothing running while executors have room.
+	maxRackWait = 2 * time.Second
 	// maxServiceTasksTogether is how many service tasks of a step share an executor
 	// while other executors have capacity.
 	maxServiceTasksTogether = 2
-	// maxAdviceExecutors is the largest number of executors that one call to the
-	// advice service may name.
-	maxAdviceExecutors = 30
-	// adviceRetryInterval is the time after which missing advice is requested again.
-	adviceRetryInterval = 500 * time.Millisecond
-	// ticketMargin is how long before its expiry a ticket is no longer used, so that it
-	// does not expire before the start arrives.
-	ticketMargin = 200 * time.Millisecond
 )
 
 // scheduleTasks starts waiting tasks in all pools.
@@ -157,8 +151,8 @@
 			return
 		}
 		if t.crashes.NeedsIsolation() {
-			if x := k.chooseForIsolation(s, t, free); x != nil {
-				k.startTask(x, s, i, max(t.highestRun, k.RunBase)+1)
+			if x, isolated := k.chooseForIsolation(s, t, free); x != nil {
+				k.startTask(x, s, i, max(t.highestRun, k.RunBase)+1, isolated)
 			}
 			continue
 		}
@@ -177,7 +171,7 @@
 			}
 			continue
 		}
-		k.startTask(x, s, i, max(t.highestRun, k.RunBase)+1)
+		k.startTask(x, s, i, max(t.highestRun, k.RunBase)+1, false)
 	}
 }
 
@@ -187,13 +181,24 @@
 	return s.Label == "" && s.Rack == "" && s.PerExecutor == 0 && s.tickets == nil
 }
 
-// withinTeamLimit reports whether n more tasks stay within the team's limit.
+// withinTeamLimit reports whether n more tasks stay within the team's limit. A team that
+// uses less than half of it may exceed it by one task, since a task or a gang that is larger
+// than the rest might never start.
 func (k *Kernel) withinTeamLimit(s *stepRun, n int) bool {
 	team := k.config.Team(s.job.Team)
 	if team == nil {
 		return true
 	}
-	return k.teamUsage[team.Name].Add(s.ChargedSize().Times(int64(n))).Within(team.Limit)
+	used := k.teamUsage[team.Name]
+	if used.Add(s.ChargedSize().Times(int64(n))).Within(team.Limit) {
+		return true
+	}
+	return isBelowHalf(used, team.Limit) && used.Add(s.ChargedSize().Times(int64(n-1))).Within(team.Limit)
+}
+
+// isBelowHalf reports whether each limited resource is used to less than half.
+func isBelowHalf(used, limit fleet.Vector) bool {
+	return (limit.CPU == 0 || used.CPU*2 < limit.CPU) && (limit.Mem == 0 || used.Mem*2 < limit.Mem) && (limit.GPU == 0 || used.GPU*2 < limit.GPU)
 }
 
 // chooseExecutor returns the best executor for a task, or nil.
@@ -220,10 +225,13 @@
 // shouldWaitForRack reports whether a step should wait for an executor in the rack
 // of its data. It waits for at most half of the time that it would lose elsewhere,
 // since the length of the wait is unknown, and only while it can meet its
-// objective.
+// objective. A service task has no end that its rack would bring nearer.
 func (k *Kernel) shouldWaitForRack(s *stepRun) bool {
+	if s.Service {
+		return false
+	}
 	loss := time.Duration((k.OffRackFactor - 1) * float64(s.Estimate()))
-	return k.now.Monotonic < s.readyAt+loss/2 && k.latenessRank(s) == 0
+	return k.now.Monotonic < s.readyAt+min(loss/2, maxRackWait) && k.latenessRank(s) == 0
 }
 
 // canRun reports whether an executor meets the requirements of a step.
@@ -233,15 +241,18 @@
 
 // fits reports whether an executor has room for a task and meets its requirements.
 func (k *Kernel) fits(x *executor, s *stepRun, need fleet.Vector) bool {
-	if x.avoidUntil > k.now.Monotonic || !x.used.Add(need).FitsIn(x.Capacity) || (s.Label != "" && !x.HasLabel(s.Label)) {
-		return false
-	}
 	if s.tickets != nil {
 		if _, ok := s.tickets[x.ID]; !ok {
 			return false
 		}
 	}
-	return s.PerExecutor == 0 || x.countRuns(s) < s.PerExecutor
+	return k.fitsWithTicket(x, s, need)
+}
+
+// fitsWithTicket reports whether an executor has room for a task and meets its requirements, but
+// for a ticket.
+func (k *Kernel) fitsWithTicket(x *executor, s *stepRun, need fleet.Vector) bool {
+	return x.avoidUntil <= k.now.Monotonic && hasRoom(x, s, need) && (s.PerExecutor == 0 || x.countRuns(s) < s.PerExecutor)
 }
 
 // countRuns returns how many runs of a step an executor has.
@@ -330,24 +341,30 @@
 		number = max(number, t.highestRun)
 		isolate = isolate || t.crashes.NeedsIsolation()
 	}
-	if isolate {
-		free = k.executorsForIsolation(free)
-	}
 	if !k.withinTeamLimit(s, s.Count) {
 		return
 	}
+	if isolate {
+		k.startGangOn(s, k.isolateGang(s, free), number)
+		return
+	}
 	for _, group := range rackGroups(s, free) {
-		if assigned := k.assignGang(s, group, isolate); assigned != nil {
-			checkpoint := s.tasks[0].checkpoint
-			for i, x := range assigned {
-				s.tasks[i].checkpoint = checkpoint
-				k.startTask(x, s, i, number+1)
-			}
+		if assigned := k.assignGang(s, group, false); assigned != nil {
+			k.startGangOn(s, assigned, number)
 			return
 		}
 	}
 }
 
+// startGangOn starts the tasks of a gang on the executors that were assigned to them, if any.
+func (k *Kernel) startGangOn(s *stepRun, assigned []*executor, number int) {
+	checkpoint := s.tasks[0].checkpoint
+	for i, x := range assigned {
+		s.tasks[i].checkpoint = checkpoint
+		k.startTask(x, s, i, number+1, s.tasks[i].crashes.NeedsIsolation())
+	}
+}
+
 // rackGroups returns the groups of executors on which a gang may be placed, in the
 // order of preference.
 func rackGroups(s *stepRun, free []*executor) [][]*executor {
@@ -389,44 +406,3 @@
 	}
 	return executors
 }
-
-// ensureTickets reports whether valid tickets for a step are available, and
-// requests them otherwise.
-func (k *Kernel) ensureTickets(s *stepRun, free []*executor) bool {
-	if len(s.tickets) > 0 && k.now.Monotonic < s.ticketsExpireAt {
-		return true
-	}
-	if s.adviceRequestedAt == 0 || k.now.Monotonic > s.adviceRequestedAt+adviceRetryInterval {
-		s.adviceRequestedAt = k.now.Monotonic
-		request := RequestAdvice{Step: s.adviceKey()}
-		for _, x := range free[:min(len(free), maxAdviceExecutors)] {
-			request.Executors = append(request.Executors, x.ID)
-		}
-		k.emit(request)
-	}
-	return false
-}
-
-// adviceKey returns the name of the step in calls to the advice service.
-func (s *stepRun) adviceKey() string { return fmt.Sprintf("%s.%d.%d", s.job.ID, s.occurrence, s.index) }
-
-// handleAdvice stores the tickets that the advice service issued for a step.
-func (k *Kernel) handleAdvice(e AdviceReceived) {
-	var id string
-	var occurrence, step int
-	if len(e.Step) < 17 {
-		return
-	}
-	id = e.Step[:16]
-	if _, err := fmt.Sscanf(e.Step[17:], "%d.%d", &occurrence, &step); err != nil {
-		return
-	}
-	j := k.jobs[id]
-	if j == nil {
-		return
-	}
-	if s := j.stepAt(occurrence, step); s != nil && len(e.Advice.Tickets) > 0 {
-		s.tickets = e.Advice.Tickets
-		s.ticketsExpireAt = e.Sent + time.Duration(e.Advice.ValidMs)*time.Millisecond - ticketMargin
-	}
-}
--- a/core/cell/state.go
+++ b/core/cell/state.go
@@ -63,6 +63,10 @@
 	tickets           map[string]string
 	ticketsExpireAt   time.Duration
 	adviceRequestedAt time.Duration
+	// allowed holds the executors that ever got a ticket, and namedAt when an executor was
+	// last named in a request.
+	allowed map[string]bool
+	namedAt map[string]time.Duration
 	// suspected is true once an executor has crashed under one of the tasks.
 	suspected bool
 }
@@ -97,7 +101,9 @@
 	// how often in a row a service task failed soon after its start.
 	straggled, promptFailures int
 	retryAt                   time.Duration
-	currentRun                *run
+	// waitingSince is when the task last began to wait for an executor again.
+	waitingSince time.Duration
+	currentRun   *run
 	// crashes holds the crashes of executors under the task. The task does not start
 	// again before the write crashesWrite has stored it, or until crashHoldUntil.
 	crashes        suspicion.Record
@@ -234,6 +240,9 @@
 	lastVM string
 	// cordoned executors get no new work because their VM is to be taken away.
 	cordoned bool
+	// cordonAfter is until when the executor is not cordoned for a wave, since a task that
+	// waited was let in.
+	cordonAfter time.Duration
 	// maintenanceDue is true if a wave will take the VM down.
 	maintenanceDue bool
 	// lastBusyAt is when the executor last had a run.
