Do not clear a task of crashes by a run that never began

Callers saw a task that crashes each executor start six times (BUDGET). The owner took all suspicion from a task once the executor had lived for two seconds after the start order, even if that order got no answer and the run never began. The task then started anew beside others, with no crash on its record, and the next owner knew of none either.

Ruled out: a loss of the stored record, since it was emptied before the change of owner.

A run now counts as survived from when it is known to have begun.

--- a/core/cell/crash.go
+++ b/core/cell/crash.go
@@ -47,8 +47,14 @@
 	}
 }
 
-// survived returns how long the executor is known to have lived after the start of a run.
-func (r *run) survived() time.Duration { return max(r.executor.aliveAt-r.startedAt(), 0) }
+// survived returns how long the executor is known to have lived after the start of a run. A
+// run whose order got no answer may begin much later than its order was sent, or never.
+func (r *run) survived() time.Duration {
+	if r.beganAt == 0 {
+		return 0
+	}
+	return max(r.executor.aliveAt-r.beganAt, 0)
+}
 
 // blameCrash records the loss of an executor at the tasks that may have caused it, and
 // gives up those that have crashed too many. The loss is certain to be a crash if the
--- a/core/cell/crash_test.go
+++ b/core/cell/crash_test.go
@@ -267,3 +267,32 @@
 		})
 	}
 }
+
+// TestLostStartClearsTheTaskItNeverStarted guards against taking the suspicion from a task
+// since its executor lives on, although the start order was lost and the task never ran
+// there (sellocant-jw-grown, deadly with late orders, seed 1).
+func TestLostStartClearsTheTaskItNeverStarted(t *testing.T) {
+	w := newWorld(t, 8)
+	w.advance(time.Second)
+	deadly := simpleJob(1, 1, 500)
+	task := deadly.ID + ".0.0.0"
+	w.crashOnStart(10*time.Millisecond, deadly.ID)
+	w.submitJob(deadly)
+	for w.crashedUnder[task] < 1 {
+		w.advance(testStep)
+	}
+	lost := 0
+	w.orderDelivery = func(kind, name string) (time.Duration, bool) {
+		if name != task || kind == "renew" {
+			return time.Millisecond, true
+		}
+		lost++
+		return time.Hour, false
+	}
+	w.advance(6 * time.Second)
+	require.Positive(t, lost)
+	w.orderDelivery = deliverPromptly
+	w.advance(10 * time.Second)
+	w.requireGivenUp(t, deadly.ID)
+	require.LessOrEqual(t, w.starts[task], 3, "the first crash was forgotten")
+}
