Lend VMs for service tasks that no executor has room for

Callers got less than they asked: tasks of services waited for up to 34 s although VMs were off. A pool got VMs by the cores that its work needs and by the spread of a step, so tasks that found no executor with enough memory waited until other work happened to bring VMs.

Ruled out: the team's limit (there is none), suspicion, a change of owner (there was none).

The lending now also counts the empty VMs that would hold the service tasks which have waited for 200 ms, less those that are empty already. The test failed before (no VM was lent).

--- a/core/cell/lending.go
+++ b/core/cell/lending.go
@@ -23,6 +23,8 @@
 	// defaultMinVMs is two so that a pool survives the loss of a VM.
 	defaultMinVMs    = 2
 	poolsLogInterval = time.Second
+	// unplacedAfter is how long a service task waits until its pool gets a VM for it.
+	unplacedAfter = 200 * time.Millisecond
 )
 
 // lendVMs moves idle VMs to the pools that need them.
@@ -72,6 +74,7 @@
 		}
 	}
 	var cores float64
+	serving, empty := map[string]int{}, map[string]int{}
 	for _, name := range k.sortedVMs() {
 		vm := k.vms[name]
 		cores = max(cores, vmCores(vm))
@@ -94,6 +97,12 @@
 		if moving || canServe {
 			p.Add(described)
 		}
+		if canServe && !moving {
+			serving[pool]++
+			if idle > 0 {
+				empty[pool]++
+			}
+		}
 		if !moving && idle > 0 && vm.State == fleet.VMUp && !k.isHeldByWave(name, p.Spare) && k.canOrderVM(name) {
 			p.IdleVMs = append(p.IdleVMs, described)
 		}
@@ -101,11 +110,61 @@
 	var pools []lending.Pool
 	slices.Sort(order)
 	for _, name := range order {
-		pools = append(pools, *byName[name])
+		p := byName[name]
+		if missing := k.countMissingVMs(name) - empty[name]; missing > 0 && !p.Spare {
+			p.MinVMs = max(p.MinVMs, serving[name]+missing)
+		}
+		pools = append(pools, *p)
 	}
 	return pools, cores
 }
 
+// countMissingVMs returns how many empty VMs would hold the service tasks of a pool that
+// wait although they could start: no executor has room for them, whatever cores the pool
+// has. Steps that only certain VMs can run are left out, since any VM may be lent.
+func (k *Kernel) countMissingVMs(pool string) int {
+	_, capacity := k.largestCapacities()
+	type plannedVM struct {
+		used  fleet.Vector
+		tasks map[*stepRun]int
+	}
+	var vms []*plannedVM
+	for _, s := range k.ensurePool(pool).readySteps {
+		if !s.Service || s.waitingTasks == 0 || s.Label != "" || s.tickets != nil || s.job.state.IsFinal() || !k.isDue(s, 0) || !k.withinTeamLimit(s, 1) {
+			continue
+		}
+		need := s.ReservedSize()
+		if !need.FitsIn(capacity) {
+			continue
+		}
+		for range k.countUnplacedTasks(s) {
+			i := slices.IndexFunc(vms, func(vm *plannedVM) bool {
+				return vm.used.Add(need).FitsIn(capacity) && (s.PerExecutor == 0 || vm.tasks[s] < s.PerExecutor)
+			})
+			if i < 0 {
+				i = len(vms)
+				vms = append(vms, &plannedVM{tasks: map[*stepRun]int{}})
+			}
+			vms[i].used = vms[i].used.Add(need)
+			vms[i].tasks[s]++
+		}
+	}
+	return len(vms)
+}
+
+// countUnplacedTasks returns how many tasks of a step have waited for an executor for
+// some time.
+func (k *Kernel) countUnplacedTasks(s *stepRun) int {
+	n := 0
+	for i := range s.tasks {
+		t := &s.tasks[i]
+		if t.state == taskWaiting && !t.uncertain && max(t.waitingSince, t.retryAt, s.readyAt)+unplacedAfter <= k.now.Monotonic {
+			n++
+		}
+	}
+	return n
+}
+
 // vmCores returns the number of cores of a VM.
 func vmCores(vm fleet.VM) float64 { return float64(vm.Capacity.CPU) / 1000 }
 
--- a/core/cell/placement_test.go
+++ b/core/cell/placement_test.go
@@ -423,3 +423,70 @@
 	}
 	require.Equal(t, 12, w.countStarts(), "refused VMs serve again after that")
 }
+
+// TestEmptiedExecutorsKeepServiceTasksWaiting guards against service tasks that wait
+// without end: each could run only on a VM that a wave empties, and the wave waits until
+// they run before it stops more tasks of their steps there.
+func TestEmptiedExecutorsKeepServiceTasksWaiting(t *testing.T) {
+	w := newWorld(t, 4)
+	w.maintenanceSucceeds = true
+	w.advance(time.Second)
+	first, second := simpleJob(1, 4, 1000), simpleJob(2, 4, 1000)
+	for _, j := range []*job.Job{first, second} {
+		j.Steps[0].Service, j.Steps[0].PerExecutor, j.Steps[0].MaxUnavailable = true, 1, 1
+		w.submitJob(j)
+	}
+	w.advance(2 * time.Second)
+	fail := func(executor string, j *job.Job) {
+		x := w.executors[executor]
+		for _, r := range x.runs {
+			if strings.HasPrefix(r.task, j.ID) {
+				x.endRun(r, fleet.EndFailed)
+				return
+			}
+		}
+		require.Fail(t, "no run of the job", executor)
+	}
+	fail("e1", first)
+	fail("e2", second)
+	w.advance(30 * time.Millisecond)
+	w.step(cell.WavesUpdated{Waves: []fleet.Wave{{Number: 1, VMs: []string{"vm-e1", "vm-e2"}, TimeLimitS: 60, MaxDown: 1}}})
+	w.advance(3 * time.Second)
+	running := 0
+	for _, x := range w.executors {
+		running += len(x.runs)
+	}
+	require.GreaterOrEqual(t, running, 6)
+	w.advance(15 * time.Second)
+	require.Len(t, w.maintainedVMs, 2)
+	running = 0
+	for _, x := range w.executors {
+		running += len(x.runs)
+	}
+	require.Equal(t, 8, running)
+}
+
+// TestServiceTaskWithoutRoomGetsNoVM guards against lending by processors alone: service
+// tasks waited for the memory of an executor while VMs were off (akademik-nabor-grown,
+// deadly tasks with seed 17).
+func TestServiceTaskWithoutRoomGetsNoVM(t *testing.T) {
+	w := newWorld(t, 2)
+	w.moveOutcome = func(string) fleet.VMOrderOutcome { return fleet.VMOrderDone }
+	for range 4 {
+		w.vms = append(w.vms, fleet.VM{Name: fmt.Sprintf("vm-s%d", len(w.vms)), Pool: "spare", State: fleet.VMUp, Capacity: fleet.Vector{CPU: 8000, Mem: 8000}})
+	}
+	w.advance(time.Second)
+	first, second := simpleJob(1, 2, 100), simpleJob(2, 2, 100)
+	for _, j := range []*job.Job{first, second} {
+		j.Steps[0].Service, j.Steps[0].Size.Mem = true, 5000
+		w.submitJob(j)
+	}
+	w.advance(time.Second)
+	lent := 0
+	for id := range w.moveOrdered {
+		if id[0] == 's' {
+			lent++
+		}
+	}
+	require.Equal(t, 2, lent)
+}
