Count every crash under a task that crashes its executors

Causes, each with a test that failed before:

- A crash was charged to the youngest runs alone, or to the one in isolation.
A task that crashes its executor 3 or 5 s after each start, or after its own isolation while another is isolated, was never charged: 13 and 7 starts after the third crash in a busy pool (TestTaskThatCrashesLateIsStartedWithoutEnd), 7 in TestCrashIsChargedToTaskInIsolationAlone.
All runs that were there for less than 10 s now get a weaker count; three crashes of any kind lead to isolation, which lasts for as long as the executors survived the task before, and so does clearing it.
A crash in isolation beside another young suspect proves nothing; after two crashes the isolation must leave no doubt.
- Owners lost after each start: the successor counted such starts only for some suspects and never gave one up for them (TestStartsLostWithTheirOwnersAreNotCounted: 5 and 7).
It counts one for each task under suspicion and gives up after five.
- The wait for the crash to be stored ended after 1.5 s, so that an outage of the store before the loss of an owner hid two starts (TestCrashesDuringStoreOutageAreForgotten: 4).
Suspects wait for the store.
- Executors that were silent with the node that carries their calls made a crash look like the loss of a rack (TestSilentExecutorsHideCrash), and so did several such tasks in a small rack, for ever (TestTasksThatCrashRackTogetherAreStartedWithoutEnd: 42 starts).
Only mates that are gone count, not those with a run in isolation, and such a loss counts towards isolation.
- A run that failed, as all do on some executors, cleared the suspicion (TestFailedRunClearsSuspicion: 3).
Only the end "done" does.
- Survival was counted from when the order was sent, which may be carried out later; it counts from when the run was first known.

Ruled out by reading: a job record without crashes (storedProgress writes them with each change), an older write over a newer one (the lanes' sequence), unstored crashes of a slow lane (a write is confirmed once all lanes have it).

--- a/core/cell/crash.go
+++ b/core/cell/crash.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -11,12 +12,15 @@
 )
 
 const (
-	// crashHoldLimit is how long a task waits for its crashes to be stored: without a
-	// store no other owner can claim.
+	// crashHoldLimit is how long a task waits for its crashes to be stored if all of them
+	// had a likelier cause. Others wait until it is done: the owner may be lost as soon as
+	// the store is back, and the next one would count from the beginning.
 	crashHoldLimit = 1500 * time.Millisecond
 	// isolationCloseTime is how long an executor gets no new work so that its runs
 	// settle and one can start in isolation.
 	isolationCloseTime = 1200 * time.Millisecond
+	// proofCloseTime is the same for a run whose crash must leave no doubt.
+	proofCloseTime = 2500 * time.Millisecond
 	// recentAnswer is how recently an executor must have answered for a run to start there
 	// in isolation: one that was lost before says nothing of the run.
 	recentAnswer = 200 * time.Millisecond
@@ -35,39 +39,74 @@
 	if x.misses > 0 {
 		return
 	}
-	x.silentSince = k.now.Monotonic
+	x.silentSince, x.silentInIsolation = k.now.Monotonic, x.isolatedRuns > 0
 	if outcome != "" {
 		k.log(event.ExecutorSilent, "executor", x.ID, "outcome", outcome, "runs", len(x.runs))
 	}
 }
 
 // survived returns how long the executor is known to have lived after the start of a run.
-func (r *run) survived() time.Duration { return max(r.executor.aliveAt-r.startedAt(), 0) }
+// An order that got no answer may have been carried out just before the run was seen.
+func (r *run) survived() time.Duration {
+	if r.beganAt == 0 {
+		return 0
+	}
+	return max(r.executor.aliveAt-r.beganAt, 0)
+}
 
 // blameCrash records the loss of an executor at the tasks that may have caused it, and
 // gives up those that have crashed too many. The loss is certain to be a crash if the
 // executor's incarnation has ended.
 func (k *Kernel) blameCrash(x *executor, certain bool) {
-	if len(x.runs) == 0 || k.isPlannedEnd(x) || k.lostWithItsRack(x) {
+	if len(x.runs) == 0 || k.isPlannedEnd(x) {
 		return
 	}
+	rackLost := k.lostWithItsRack(x, certain)
 	runs := sortedRuns(x)
 	victims := make([]suspicion.Victim, len(runs))
+	doubtful := false
 	for i, r := range runs {
-		victims[i] = suspicion.Victim{Survived: r.survived(), Isolated: r.isolated}
+		victims[i] = suspicion.Victim{Survived: r.survived(), Age: x.lostAt(k.now.Monotonic) - r.startedAt(), Isolated: r.isolated}
+		doubtful = doubtful || (!r.isolated && r.isYoungSuspect())
 	}
-	for _, i := range suspicion.Suspects(victims) {
-		r := runs[i]
-		if t := r.task(); t.currentRun == r && !r.step.job.state.IsFinal() {
-			k.suspectTask(r, victims[i], certain)
+	suspects := suspicion.Suspects(victims)
+	for i, r := range runs {
+		t := r.task()
+		if t.currentRun != r || r.step.job.state.IsFinal() {
+			continue
 		}
+		switch {
+		case rackLost:
+			t.crashes.AddLossOfRack(victims[i])
+		case slices.Contains(suspects, i):
+			t.crashes.Add(victims[i], certain && !doubtful)
+		case certain:
+			t.crashes.AddBystander(victims[i])
+		}
+		if t.crashes != (suspicion.Record{}) {
+			k.suspectTask(r)
+		}
+	}
+}
+
+// lostAt returns when an executor that was lost fell silent.
+func (x *executor) lostAt(now time.Duration) time.Duration {
+	if x.misses > 0 {
+		return x.silentSince
 	}
+	return now
 }
 
-// suspectTask records a crash under a task.
-func (k *Kernel) suspectTask(r *run, v suspicion.Victim, certain bool) {
+// isYoungSuspect reports whether a task that must be isolated is the likely cause of a crash:
+// the executors have not survived this run for longer than the earlier ones.
+func (r *run) isYoungSuspect() bool {
+	c := r.task().crashes
+	return c.NeedsIsolation() && !c.HasOutlived(r.survived())
+}
+
+// suspectTask stores the crashes under a task, or gives it up.
+func (k *Kernel) suspectTask(r *run) {
 	t, j := r.task(), r.step.job
-	t.crashes.Add(v, certain)
 	r.step.suspected = true
 	k.holdUntilStored(t, j)
 	if t.crashes.ShouldGiveUp() {
@@ -76,9 +115,23 @@
 	}
 }
 
+// presumeCrash counts a start of a suspected task by the earlier owner, since no executor
+// has the run.
+func (k *Kernel) presumeCrash(s *stepRun, t *task) {
+	t.crashes.PresumeCrash()
+	k.holdUntilStored(t, s.job)
+	if t.crashes.ShouldGiveUp() && !s.job.state.IsFinal() {
+		k.log(event.TaskGivenUp, "job", s.job.ID, "step", s.index, "crashes", t.crashes)
+		k.endJob(s.job, job.Failed)
+	}
+}
+
 // holdUntilStored stores the crashes under a task and lets it wait for the write.
 func (k *Kernel) holdUntilStored(t *task, j *jobState) {
 	t.crashesWrite, t.crashHoldUntil = k.outbox.lastWrite+1, k.now.Monotonic+crashHoldLimit
+	if t.crashes.IsSuspect() {
+		t.crashHoldUntil = math.MaxInt64
+	}
 	k.markDirty(j)
 }
 
@@ -95,9 +148,11 @@
 	return ok && (vm.State == fleet.VMMoving || vm.State == fleet.VMMaintenance || vm.Pool != x.Pool)
 }
 
-// lostWithItsRack reports whether most executors of the rack fell silent together, which
-// no single task can cause.
-func (k *Kernel) lostWithItsRack(x *executor) bool {
+// lostWithItsRack reports whether most executors of the rack were lost together, which no
+// single task can cause. Where the executor has certainly crashed, those that are merely
+// silent do not count: they may share the node that carries their calls. Nor do those with
+// a run in isolation, which is the likelier cause.
+func (k *Kernel) lostWithItsRack(x *executor, certain bool) bool {
 	rack := x.Rack()
 	if rack == "" || x.silentSince == 0 {
 		return false
@@ -108,7 +163,8 @@
 			continue
 		}
 		total++
-		if (o.misses > 0 || o == x) && (o.silentSince-x.silentSince).Abs() <= togetherWindow {
+		isSilent := o == x || (o.misses > 0 && (o.absent || !certain) && (o.silentSince-x.silentSince).Abs() <= togetherWindow)
+		if isSilent && !o.silentInIsolation {
 			together++
 		}
 	}
@@ -134,13 +190,14 @@
 }
 
 // canIsolate reports whether a crash of the executor would show what a run does that
-// starts now: the executor has just answered and has survived all its other runs.
-func (k *Kernel) canIsolate(x *executor) bool {
+// starts now: the executor has just answered and has survived all its other runs. If the
+// crash must leave no doubt, none of them is under suspicion.
+func (k *Kernel) canIsolate(x *executor, needsProof bool) bool {
 	if x.isolatedRuns > 0 || k.now.Monotonic > x.lastAnswerAt+recentAnswer {
 		return false
 	}
 	for _, r := range x.runs {
-		if r.state != runStopping && !suspicion.IsSettled(r.survived()) {
+		if r.state != runStopping && (!suspicion.IsSettled(r.survived()) || (needsProof && r.isYoungSuspect())) {
 			return false
 		}
 	}
@@ -149,15 +206,19 @@
 
 // executorsForIsolation returns the executors on which runs can start in isolation. If
 // there are none, it closes one to new work.
-func (k *Kernel) executorsForIsolation(free []*executor) []*executor {
+func (k *Kernel) executorsForIsolation(free []*executor, needsProof bool) []*executor {
 	var found []*executor
 	for _, x := range free {
-		if k.canIsolate(x) {
+		if k.canIsolate(x, needsProof) {
 			found = append(found, x)
 		}
 	}
 	if len(found) == 0 {
-		k.closeForIsolation(free)
+		closeTime := isolationCloseTime
+		if needsProof {
+			closeTime = proofCloseTime
+		}
+		k.closeForIsolation(free, closeTime)
 	}
 	slices.SortStableFunc(found, compareForIsolation)
 	return found
@@ -180,15 +241,15 @@
 	}
 	need := s.ReservedSize()
 	fitting := slices.DeleteFunc(slices.Clone(free), func(x *executor) bool { return !k.fits(x, s, need) })
-	if found := k.executorsForIsolation(fitting); len(found) > 0 {
+	if found := k.executorsForIsolation(fitting, t.crashes.NeedsProof()); len(found) > 0 {
 		return found[0]
 	}
 	return nil
 }
 
-// closeForIsolation closes the executor with the fewest runs to new work, unless too many
-// are closed.
-func (k *Kernel) closeForIsolation(free []*executor) {
+// closeForIsolation closes the executor with the fewest runs to new work for a time, unless
+// too many are closed.
+func (k *Kernel) closeForIsolation(free []*executor, closeTime time.Duration) {
 	var best *executor
 	closed := 0
 	for _, x := range free {
@@ -199,7 +260,7 @@
 		}
 	}
 	if best != nil && closed < max(len(free)/maxClosedDivisor, 1) {
-		best.closedUntil = k.now.Monotonic + isolationCloseTime
+		best.closedUntil = k.now.Monotonic + closeTime
 	}
 }
 
@@ -227,7 +288,7 @@
 		if r.state == runActive && r.survived() >= t.crashes.Observation() {
 			r.endIsolation()
 		}
-		if suspicion.IsInnocent(r.survived()) {
+		if t.crashes.IsCleared(r.survived()) {
 			t.crashes = suspicion.Record{}
 			k.markDirty(r.step.job)
 		}
--- a/core/cell/recover.go
+++ b/core/cell/recover.go
@@ -7,6 +7,7 @@
 	"jacinthwind/core/event"
 	"jacinthwind/core/fleet"
 	"jacinthwind/core/job"
+	"jacinthwind/core/suspicion"
 )
 
 // LoadJob restores a job from the store; it must be called before the first event.
@@ -91,10 +92,9 @@
 				}
 				t.uncertain = false
 				uncertain++
-				if t.crashes.NeedsIsolation() {
+				if t.crashes != (suspicion.Record{}) {
 					// The earlier owner has probably started it, and no executor has it.
-					t.crashes.PresumeCrash()
-					k.holdUntilStored(t, s.job)
+					k.presumeCrash(s, t)
 				}
 			}
 		}
--- a/core/cell/runs.go
+++ b/core/cell/runs.go
@@ -251,7 +251,7 @@
 	t := &s.tasks[index]
 	t.anyRunEnded = true
 	t.highestRun, t.highestEndedRun = max(t.highestRun, e.Run), max(t.highestEndedRun, e.Run)
-	if e.End == fleet.EndDone || e.End == fleet.EndFailed {
+	if e.End == fleet.EndDone {
 		t.crashes = suspicion.Record{}
 	}
 	if e.Checkpoint != "" {
--- a/core/cell/schedule.go
+++ b/core/cell/schedule.go
@@ -321,7 +321,7 @@
 // startGang starts all tasks of a gang at once, or none.
 func (k *Kernel) startGang(s *stepRun, free []*executor) {
 	number := k.RunBase
-	isolate := false
+	isolate, needsProof := false, false
 	for i := range s.tasks {
 		t := &s.tasks[i]
 		if t.state != taskWaiting || t.uncertain || t.retryAt > k.now.Monotonic || k.isCrashUnstored(t) {
@@ -329,9 +329,10 @@
 		}
 		number = max(number, t.highestRun)
 		isolate = isolate || t.crashes.NeedsIsolation()
+		needsProof = needsProof || t.crashes.NeedsProof()
 	}
 	if isolate {
-		free = k.executorsForIsolation(free)
+		free = k.executorsForIsolation(free, needsProof)
 	}
 	if !k.withinTeamLimit(s, s.Count) {
 		return
--- a/core/cell/state.go
+++ b/core/cell/state.go
@@ -201,6 +201,8 @@
 	aliveAt time.Duration
 	// silentSince is when the executor first missed a call after its last answer.
 	silentSince time.Duration
+	// silentInIsolation is true if it had a run in isolation then.
+	silentInIsolation bool
 	// isolatedRuns counts the runs in isolation. Until closedUntil nothing starts here,
 	// so that a run can be isolated once the others have settled.
 	isolatedRuns int
--- a/core/suspicion/record.go
+++ b/core/suspicion/record.go
@@ -22,6 +22,21 @@
 	// maxCrashes is the number of crashes after which a single one in isolation is
 	// enough.
 	maxCrashes = 4
+	// maxUnisolatedLosses is the number of crashes, those with a likelier cause included,
+	// after which a task runs only in isolation.
+	maxUnisolatedLosses = 3
+	// maxDoubtfulLosses is the number of crashes after which the next one in isolation must
+	// leave no doubt.
+	maxDoubtfulLosses = 2
+	// maxLosses is the number of crashes, those with a likelier cause included, after which
+	// a task is given up although none was in isolation.
+	maxLosses = 5
+	// maxBystanderAge is how long an executor must survive a run for a crash with a
+	// likelier cause not to count against its task at all.
+	maxBystanderAge = 10 * time.Second
+	// ageMargin is by how much longer an executor must survive a task than it did at the
+	// latest crash.
+	ageMargin = 250 * time.Millisecond
 )
 
 // Record holds the crashes of executors under one task.
@@ -32,12 +47,19 @@
 	Isolated int `json:"i,omitempty"`
 	// Prompt is true if an executor crashed right after the task had started.
 	Prompt bool `json:"p,omitempty"`
+	// Beside counts the executors that crashed under the task while the crash had a
+	// likelier cause.
+	Beside int `json:"b,omitempty"`
+	// OldestMs is the longest time from a start to the crash of the executor.
+	OldestMs int64 `json:"o,omitempty"`
 }
 
 // Victim is a run on an executor that crashed.
 type Victim struct {
 	// Survived is how long the executor is known to have lived after the start.
 	Survived time.Duration
+	// Age is how long after the start the executor fell silent.
+	Age time.Duration
 	// Isolated is true if the run was still observed in isolation.
 	Isolated bool
 }
@@ -73,26 +95,86 @@
 		r.Isolated++
 	}
 	r.Prompt = r.Prompt || v.Survived < promptCrash
+	r.noteAge(v)
+}
+
+// AddBystander records a crash under a task while the crash has a likelier cause: a task
+// that crashes its executors later than others would never be found otherwise.
+func (r *Record) AddBystander(v Victim) {
+	if v.Survived < maxBystanderAge {
+		r.Beside++
+		r.noteAge(v)
+	}
+}
+
+// AddLossOfRack records a crash under a task together with most executors of the rack. That
+// is never a reason to give a task up, but several tasks may crash a small rack.
+func (r *Record) AddLossOfRack(v Victim) {
+	if !IsInnocent(v.Survived) && r.losses() < maxUnisolatedLosses {
+		r.AddBystander(v)
+	}
+}
+
+func (r *Record) noteAge(v Victim) {
+	r.OldestMs = max(r.OldestMs, min(v.Age, maxBystanderAge).Milliseconds())
 }
 
 // PresumeCrash counts a start of a suspected task that was lost together with its owner.
-func (r *Record) PresumeCrash() { r.Crashes++ }
+func (r *Record) PresumeCrash() {
+	if r.NeedsIsolation() {
+		r.Crashes++
+	} else {
+		r.Beside++
+	}
+}
+
+// IsSuspect reports whether an executor crashed under the task without a likelier cause.
+func (r Record) IsSuspect() bool { return r.Crashes > 0 }
+
+// losses returns how many executors crashed under the task.
+func (r Record) losses() int { return r.Crashes + r.Beside }
 
 // NeedsIsolation reports whether the task may only start in isolation.
-func (r Record) NeedsIsolation() bool { return r.Prompt || r.Crashes >= maxUnisolatedCrashes }
+func (r Record) NeedsIsolation() bool {
+	return r.Prompt || r.Crashes >= maxUnisolatedCrashes || r.losses() >= maxUnisolatedLosses
+}
+
+// NeedsProof reports whether the next crash in isolation must leave no doubt: the task has
+// few starts left.
+func (r Record) NeedsProof() bool { return r.losses() >= maxDoubtfulLosses }
 
 // Observation returns how long an executor must survive the task until other tasks may
 // start beside it.
 func (r Record) Observation() time.Duration {
-	if r.Crashes >= maxUnisolatedCrashes {
-		return innocentAge
+	if r.NeedsProof() {
+		return r.clearingAge()
 	}
 	return shortObservation
 }
 
+// clearingAge returns how long an executor must survive the task to clear it.
+func (r Record) clearingAge() time.Duration {
+	return max(innocentAge, r.longestAge())
+}
+
+// HasOutlived reports whether an executor has survived a run of the task for longer than the
+// earlier ones, so that a crash is rather the work of another task.
+func (r Record) HasOutlived(survived time.Duration) bool {
+	return survived >= min(r.longestAge(), innocentAge)
+}
+
+// longestAge returns how long an executor must survive the task to outlive its crashes.
+func (r Record) longestAge() time.Duration {
+	return time.Duration(r.OldestMs)*time.Millisecond + ageMargin
+}
+
+// IsCleared reports whether an executor has survived a run of the task for so long that the
+// task is out of suspicion.
+func (r Record) IsCleared(survived time.Duration) bool { return survived >= r.clearingAge() }
+
 // ShouldGiveUp reports whether the task crashes its executors and must not start again.
 func (r Record) ShouldGiveUp() bool {
-	return r.Isolated >= maxIsolatedCrashes || (r.Isolated > 0 && r.Crashes >= maxCrashes)
+	return r.Isolated >= maxIsolatedCrashes || (r.Isolated > 0 && r.losses() >= maxCrashes) || r.losses() >= maxLosses
 }
 
 // IsInnocent reports whether an executor has survived a run for so long that its task is
