Keep new work off executors that join after their VM was ordered away

An order for a VM cordoned its executor only if the owner knew the executor already. A VM of a wave whose executor had just registered, or was listed without one, was ordered down; the executor then joined, got service tasks, and the order ended them, beyond what the wave's evictions had left of the budget of the step (AVAIL).

An executor that joins, or that the list of VMs shows, is cordoned while an order for its VM may be carried out. A VM that is listed without an executor in a pool with work waits, unless its wave is late.

TestTaskStartsOnVMThatIsOrderedAway failed before in both forms.

Ruled out by reading: two members of one step stopped in one tick (the first is stopping when the second is asked for), a run that has just started (its percentage is 0 until it reports), stops by an earlier owner (no stop before they have ended), orders for VMs that got a run after the plan (their executor is cordoned in the same tick).

--- a/core/cell/executors.go
+++ b/core/cell/executors.go
@@ -44,6 +44,9 @@
 			x = &executor{Executor: e, runs: map[runKey]*run{}, knownSince: k.now.Monotonic}
 			k.executors[e.ID] = x
 			k.insertInOrder(x)
+			for _, o := range k.vmOrders {
+				x.cordoned = x.cordoned || (o.executor == e.ID && !o.confirmed)
+			}
 		}
 		switch {
 		case x.incarnationStartedMs != 0 && e.StartedMs > x.incarnationStartedMs:
--- a/core/cell/vm_order.go
+++ b/core/cell/vm_order.go
@@ -44,11 +44,28 @@
 			x.vmName, x.lastVM = vm.Name, vm.Name
 			x.fullCapacity = x.fullCapacity.Max(vm.Capacity)
 			x.absent = x.absent && vm.State != fleet.VMUp
+			k.cordonForOrder(x, vm)
 		}
 		k.completeVMOrder(vm)
 	}
 }
 
+// cordonForOrder keeps new work off an executor that was not known yet when its VM was
+// ordered away.
+func (k *Kernel) cordonForOrder(x *executor, vm fleet.VM) {
+	o, ok := k.vmOrders[vm.Name]
+	if !ok || o.confirmed || vm.State != fleet.VMUp || vm.Pool == o.pool {
+		return
+	}
+	if o.executor == "" {
+		o.executor = x.ID
+		k.vmOrders[vm.Name] = o
+	}
+	if o.executor == x.ID {
+		x.cordoned = true
+	}
+}
+
 // needsVMList reports whether an executor is silent or not fenced yet, so that only
 // the list of VMs can show whether it is alive.
 func (k *Kernel) needsVMList() bool {
--- a/core/cell/wave.go
+++ b/core/cell/wave.go
@@ -192,7 +192,7 @@
 		if k.isUnneeded(k.vms[name], x, spareVMs) {
 			limit = w.MaxDown
 		}
-		if down < limit && k.vms[name].State == fleet.VMUp && k.canTakeDown(x, late) && k.takeVMOrderBudget() {
+		if down < limit && k.vms[name].State == fleet.VMUp && k.canTakeDown(x, late) && (late || !k.isExecutorStarting(k.vms[name])) && k.takeVMOrderBudget() {
 			k.orderVMMaintenance(w, name)
 			down++
 			if x == nil {
@@ -284,6 +284,12 @@
 	return true
 }
 
+// isExecutorStarting reports whether the executor of a VM has not been listed with it yet; it
+// may have work before it is.
+func (k *Kernel) isExecutorStarting(vm fleet.VM) bool {
+	return vm.Executor == "" && !k.config.IsSparePool(vm.Pool)
+}
+
 // hasUnstoredEnds reports whether the executor lists run ends that are not stored
 // yet, so that no one else knows them.
 func (x *executor) hasUnstoredEnds() bool { return x.seenEnd > x.ackedEnd }
