Let a crash in doubt complete the proof against a task

Each had lost its first start with an owner, and one crash in isolation counted nothing since another suspect was beside it, or since its owner was lost.

Such a crash now counts as doubtful: with one that leaves no doubt it gives the task up, after three crashes in all.

TestRandomCrashingTasksKeepTheirBudget has the rule's bound, without one start more for each lost owner. The new random tests also cut owners off, and a second one has tasks that crash up to 3 s after their start.

--- a/core/cell/crash.go
+++ b/core/cell/crash.go
@@ -79,7 +79,8 @@
 		case rackLost:
 			t.crashes.AddLossOfRack(victims[i])
 		case slices.Contains(suspects, i):
-			t.crashes.Add(victims[i], certain && !doubtful)
+			victims[i].Doubtful = doubtful
+			t.crashes.Add(victims[i], certain)
 		case certain:
 			t.crashes.AddBystander(victims[i])
 		}
--- a/core/cell/crash_budget_test.go
+++ b/core/cell/crash_budget_test.go
@@ -27,8 +27,9 @@
 	// after holds how long after its start each task crashes its executor.
 	after            map[string]time.Duration
 	startsAfterThree map[string]int
-	lostOwners       int
-	ownerSince       time.Duration
+	// mostLostOwners limits the owners that are lost.
+	mostLostOwners, lostOwners int
+	ownerSince                 time.Duration
 }
 
 // newBudgetWorld returns a world with executors in racks of three.
@@ -66,18 +67,19 @@
 	b.submitJob(j)
 }
 
-// Limits of the losses of owners: each owner that is lost before it has stored the first
-// crash of a task takes the knowledge of a start with it.
-const (
-	mostLostOwners = 4
-	minOwnership   = 2500 * time.Millisecond
-)
+// minOwnership is how long an owner is kept at least: each one that is lost before it has
+// stored the first crash of a task takes the knowledge of a start with it.
+const minOwnership = 2500 * time.Millisecond
 
-// loseOwner kills the owner unless it has just begun.
+// loseOwner kills the owner, or cuts it off, unless it has just begun.
 func (b *budgetWorld) loseOwner() {
-	if b.lostOwners < mostLostOwners && b.now >= b.ownerSince+minOwnership {
+	if b.lostOwners < b.mostLostOwners && b.now >= b.ownerSince+minOwnership {
 		b.lostOwners++
-		b.killOwner()
+		if rapid.Bool().Draw(b.T, "cut off") {
+			b.deposeOwner()
+		} else {
+			b.killOwner()
+		}
 		b.ownerSince = b.now
 	}
 }
@@ -100,45 +102,63 @@
 	}
 }
 
-// TestRandomFaultsKeepTheBudgetOfCrashingTasks runs tasks that crash their executors among
-// others, while several owners, carriers, answers and executors are lost and the store is
-// away.
+// playFaults submits tasks that crash their executors after the given times among others,
+// while owners, carriers, answers and executors are lost and the store is away. Then it
+// checks the budget.
+func (b *budgetWorld) playFaults(delaysMs ...int) {
+	for range rapid.IntRange(5, 40).Draw(b.T, "length") {
+		switch rapid.IntRange(0, 13).Draw(b.T, "act") {
+		case 0:
+			b.submitDeadly(delaysMs...)
+		case 2:
+			b.loseOwner()
+		case 3:
+			if x := b.drawExecutor(); !x.down {
+				b.crashAndReplace(x)
+			}
+		case 4:
+			if b.storeDown {
+				b.restoreStore()
+			} else {
+				b.storeDown = true
+			}
+		case 5:
+			b.loseAnswers()
+		case 6:
+			b.orderDelivery, b.answerDelay = deliverPromptly, noDelay
+		case 7:
+			b.loseCarrier()
+		case 1, 8, 9, 10:
+			b.submitRandom()
+		default:
+			b.advance(time.Duration(rapid.IntRange(10, 900).Draw(b.T, "ms")) * time.Millisecond)
+		}
+	}
+	b.orderDelivery, b.answerDelay = deliverPromptly, noDelay
+	b.restoreStore()
+	// Five starts of the latest one and the loss of each executor.
+	b.advance(10*time.Second + 8*time.Duration(slices.Max(delaysMs))*time.Millisecond)
+	b.recoverAndCheck()
+	b.requireBudget()
+}
+
+// TestRandomFaultsKeepTheBudgetOfCrashingTasks runs tasks that crash their executors within
+// a second while several owners are lost.
 func TestRandomFaultsKeepTheBudgetOfCrashingTasks(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		b := newBudgetWorld(t)
-		for range rapid.IntRange(5, 40).Draw(t, "length") {
-			switch rapid.IntRange(0, 13).Draw(t, "act") {
-			case 0:
-				b.submitDeadly(1, 20, 90, 300, 1000)
-			case 2:
-				b.loseOwner()
-			case 3:
-				if x := b.drawExecutor(); !x.down {
-					b.crashAndReplace(x)
-				}
-			case 4:
-				if b.storeDown {
-					b.restoreStore()
-				} else {
-					b.storeDown = true
-				}
-			case 5:
-				b.loseAnswers()
-			case 6:
-				b.orderDelivery, b.answerDelay = deliverPromptly, noDelay
-			case 7:
-				b.loseCarrier()
-			case 1, 8, 9, 10:
-				b.submitRandom()
-			default:
-				b.advance(time.Duration(rapid.IntRange(10, 900).Draw(t, "ms")) * time.Millisecond)
-			}
-		}
-		b.orderDelivery, b.answerDelay = deliverPromptly, noDelay
-		b.restoreStore()
-		b.advance(10 * time.Second)
-		b.recoverAndCheck()
-		b.requireBudget()
+		b.mostLostOwners = 4
+		b.playFaults(1, 20, 90, 300, 1000)
+	})
+}
+
+// TestRandomFaultsKeepTheBudgetOfTasksThatCrashLate runs tasks that crash their executors
+// seconds after their start while one owner is lost.
+func TestRandomFaultsKeepTheBudgetOfTasksThatCrashLate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := newBudgetWorld(t)
+		b.mostLostOwners = 1
+		b.playFaults(300, 1500, 3000)
 	})
 }
 
--- a/core/cell/random_test.go
+++ b/core/cell/random_test.go
@@ -290,9 +290,8 @@
 }
 
 // TestRandomCrashingTasksKeepTheirBudget runs tasks that crash their executors among
-// others, while owners are replaced and executors are lost for other reasons. Each lost
-// owner may take the knowledge of one start with it; beyond that the budget holds, and all
-// other jobs are done.
+// others, while an owner is replaced and executors are lost for other reasons. The budget
+// holds, and all other jobs are done.
 func TestRandomCrashingTasksKeepTheirBudget(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		r := &randomWorld{T: t, world: newWorld(t, rapid.IntRange(4, 10).Draw(t, "executors"))}
@@ -339,7 +338,7 @@
 			if r.jobState(id) == "" {
 				continue
 			}
-			require.LessOrEqual(t, r.starts[task], maxStartsOfCrashingTask+lostOwners, "starts of %s", task)
+			require.LessOrEqual(t, r.starts[task], maxStartsOfCrashingTask, "starts of %s", task)
 			require.Equal(t, job.Failed, r.jobState(id), "job %s", id)
 		}
 		for id := range r.specs {
--- a/core/suspicion/record.go
+++ b/core/suspicion/record.go
@@ -45,6 +45,9 @@
 	Crashes int `json:"n,omitempty"`
 	// Isolated counts those that crashed while the task ran there in isolation.
 	Isolated int `json:"i,omitempty"`
+	// Doubtful counts those that crashed in isolation beside another likely cause, or that
+	// were lost together with the owner.
+	Doubtful int `json:"d,omitempty"`
 	// Prompt is true if an executor crashed right after the task had started.
 	Prompt bool `json:"p,omitempty"`
 	// Beside counts the executors that crashed under the task while the crash had a
@@ -62,6 +65,8 @@
 	Age time.Duration
 	// Isolated is true if the run was still observed in isolation.
 	Isolated bool
+	// Doubtful is true if another likely cause was beside it.
+	Doubtful bool
 }
 
 // Suspects returns the indexes of the runs that may have crashed their executor. An
@@ -91,7 +96,11 @@
 // counts against isolation.
 func (r *Record) Add(v Victim, certain bool) {
 	r.Crashes++
-	if v.Isolated && certain {
+	switch {
+	case !v.Isolated || !certain:
+	case v.Doubtful:
+		r.Doubtful++
+	default:
 		r.Isolated++
 	}
 	r.Prompt = r.Prompt || v.Survived < promptCrash
@@ -123,6 +132,7 @@
 func (r *Record) PresumeCrash() {
 	if r.NeedsIsolation() {
 		r.Crashes++
+		r.Doubtful++
 	} else {
 		r.Beside++
 	}
@@ -174,7 +184,12 @@
 
 // ShouldGiveUp reports whether the task crashes its executors and must not start again.
 func (r Record) ShouldGiveUp() bool {
-	return r.Isolated >= maxIsolatedCrashes || (r.Isolated > 0 && r.losses() >= maxCrashes) || r.losses() >= maxLosses
+	if r.losses() >= maxLosses || (r.Isolated > 0 && r.losses() >= maxCrashes) {
+		return true
+	}
+	// A doubtful one completes the proof that one in isolation began; a bystander of both
+	// must have been lost a third time.
+	return r.Isolated >= maxIsolatedCrashes || (r.Isolated > 0 && r.Isolated+r.Doubtful >= maxIsolatedCrashes && r.losses() > maxIsolatedCrashes)
 }
 
 // IsInnocent reports whether an executor has survived a run for so long that its task is
--- a/core/suspicion/record_test.go
+++ b/core/suspicion/record_test.go
@@ -54,3 +54,43 @@
 		})
 	}
 }
+
+// TestRecordOfDoubtfulLosses guards against starting a task without end whose crashes always
+// have a likelier or another likely cause, or are lost with the owner.
+func TestRecordOfDoubtfulLosses(t *testing.T) {
+	prompt, isolated := suspicion.Victim{}, suspicion.Victim{Isolated: true}
+	doubtful := suspicion.Victim{Isolated: true, Doubtful: true}
+	beside := func(r *suspicion.Record) {
+		r.AddBystander(suspicion.Victim{Survived: 3 * time.Second, Age: 4 * time.Second})
+	}
+	rack := func(r *suspicion.Record) { r.AddLossOfRack(prompt) }
+	crash := func(v suspicion.Victim) func(r *suspicion.Record) {
+		return func(r *suspicion.Record) { r.Add(v, true) }
+	}
+	for name, c := range map[string]struct {
+		losses          []func(*suspicion.Record)
+		isolate, giveUp bool
+	}{
+		"doubt, then proof":              {[]func(*suspicion.Record){crash(prompt), crash(doubtful), crash(isolated)}, true, true},
+		"doubt only":                     {[]func(*suspicion.Record){crash(prompt), crash(doubtful), crash(doubtful)}, true, false},
+		"lost with the owner, proof":     {[]func(*suspicion.Record){crash(prompt), (*suspicion.Record).PresumeCrash, crash(isolated)}, true, true},
+		"beside a likelier cause twice":  {[]func(*suspicion.Record){beside, beside}, false, false},
+		"beside a likelier cause thrice": {[]func(*suspicion.Record){beside, beside, beside}, true, false},
+		"beside, then proof":             {[]func(*suspicion.Record){beside, beside, beside, crash(isolated)}, true, true},
+		"five of any kind":               {[]func(*suspicion.Record){beside, beside, beside, beside, beside}, true, true},
+		"with its rack again and again":  {[]func(*suspicion.Record){rack, rack, rack, rack, rack, rack}, true, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var r suspicion.Record
+			for _, add := range c.losses {
+				add(&r)
+			}
+			require.Equal(t, c.isolate, r.NeedsIsolation())
+			require.Equal(t, c.giveUp, r.ShouldGiveUp())
+		})
+	}
+	var late suspicion.Record
+	beside(&late)
+	require.False(t, late.IsCleared(4*time.Second), "cleared although the executors survived it for as long before")
+	require.True(t, late.IsCleared(5*time.Second))
+}
