Count each part of a message of a link as a sign of life

What callers would see: a submission of some hundred kilobytes that a node with a slow link passes on ends the link (2.5 s without a message at the owner, 1.5 s at a carrier); the request is uncertain and repeated, all other requests and orders of the link with it.

The watchdog of a stream was set back by whole messages only. A single item may have megabytes, a part has up to 256 kB, which 2 Mbit/s carry in a second if nothing else shares the link.

Now all that is read sets it back. A peer that sends nothing still ends the stream (TestSilentPeerEndsStream).

TestLargeMessageOverSlowLinkCountsAsSilence failed before (the first message ended after 0.4 s of silence) and passes, 3 runs with the race detector.

--- a/common/jsonstream/stream.go
+++ b/common/jsonstream/stream.go
@@ -15,9 +15,14 @@
 	"jacinthwind/common/jsonhttp"
 )
 
-// firstBufferBytes is the size of a stream's read buffer while its messages are
-// small.
-const firstBufferBytes = 4 << 10
+const (
+	// firstBufferBytes is the size of a stream's read buffer while its messages are
+	// small.
+	firstBufferBytes = 4 << 10
+	// progressBytes limits one read, so that each part of a large message shows that the
+	// peer is not silent: a read of a chunked body fills all of its buffer.
+	progressBytes = 4 << 10
+)
 
 // Stream is one end of an exchange. One goroutine may send while another receives.
 type Stream struct {
@@ -60,14 +65,35 @@
 	}, nil
 }
 
-func newStream(body io.Reader, write func([]byte) error, abort func(), silence time.Duration) *Stream {
-	s := &Stream{write: write, abort: sync.OnceFunc(abort), lines: bufio.NewScanner(body)}
+func newStream(body io.Reader, compressed bool, write func([]byte) error, abort func(), silence time.Duration) *Stream {
+	s := &Stream{write: write, abort: sync.OnceFunc(abort)}
+	received := io.Reader(watchedReader{s, body})
+	if compressed {
+		received = flate.NewReader(received)
+	}
+	s.lines = bufio.NewScanner(received)
 	s.SetSilence(silence)
 	s.lines.Buffer(make([]byte, 0, firstBufferBytes), jsonhttp.MaxMessageBytes)
 	s.watchdog = time.AfterFunc(silence, s.abort)
 	return s
 }
 
+// watchedReader reads the body of a stream; all that it reads shows that the peer is not
+// silent.
+type watchedReader struct {
+	stream *Stream
+	body   io.Reader
+}
+
+// Read implements io.Reader.
+func (r watchedReader) Read(p []byte) (int, error) {
+	n, err := r.body.Read(p[:min(len(p), progressBytes)])
+	if n > 0 {
+		r.stream.watchdog.Reset(time.Duration(r.stream.silence.Load()))
+	}
+	return n, err
+}
+
 // Refuse answers a request that would have become a stream with an error. The usual
 // answer would wait for the end of the request's body.
 func Refuse(w http.ResponseWriter, status int, reason string) {
@@ -85,16 +111,15 @@
 		return nil, fmt.Errorf("accept stream: %w", err)
 	}
 	w.Header().Set("Content-Type", "application/jsonl")
-	body := io.Reader(r.Body)
 	write := func(line []byte) error {
 		if _, err := w.Write(line); err != nil {
 			return err
 		}
 		return c.Flush()
 	}
-	if r.Header.Get("Content-Encoding") == encoding {
+	compressed := r.Header.Get("Content-Encoding") == encoding
+	if compressed {
 		w.Header().Set("Content-Encoding", encoding)
-		body = flate.NewReader(r.Body)
 		var err error
 		if write, err = newCompressor(w, c.Flush); err != nil {
 			return nil, err
@@ -109,7 +134,7 @@
 		_ = c.SetReadDeadline(time.Unix(1, 0))
 		_ = c.SetWriteDeadline(time.Unix(1, 0))
 	}
-	return newStream(body, write, abort, silence), nil
+	return newStream(r.Body, compressed, write, abort, silence), nil
 }
 
 // Open sends a request to a handler that accepts streams. The stream ends with ctx,
@@ -150,15 +175,14 @@
 		_, err := out.Write(line)
 		return err
 	}
-	received := io.Reader(resp.Body)
-	if resp.Header.Get("Content-Encoding") == encoding {
-		received = flate.NewReader(resp.Body)
+	compressed := resp.Header.Get("Content-Encoding") == encoding
+	if compressed {
 		if write, err = newCompressor(out, func() error { return nil }); err != nil {
 			abort()
 			return nil, err
 		}
 	}
-	return newStream(received, write, abort, o.Silence), nil
+	return newStream(resp.Body, compressed, write, abort, o.Silence), nil
 }
 
 // Send sends a message. One that is too large for the peer is not sent, leaves the stream
@@ -188,14 +212,13 @@
 		}
 		return io.EOF
 	}
-	s.watchdog.Reset(time.Duration(s.silence.Load()))
 	if err := json.Unmarshal(s.lines.Bytes(), v); err != nil {
 		return &DecodeError{Err: err}
 	}
 	return nil
 }
 
-// SetSilence sets how long the peer may be silent after its next message.
+// SetSilence sets how long the peer may be silent after what it sends next.
 func (s *Stream) SetSilence(d time.Duration) { s.silence.Store(int64(d)) }
 
 // Close ends the stream.
--- a/common/jsonstream/stream_test.go
+++ b/common/jsonstream/stream_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -164,3 +165,35 @@
 	require.Error(t, err)
 	require.False(t, errors.As(err, &malformed))
 }
+
+// TestLargeMessageOverSlowLinkCountsAsSilence guards against a stream that ends at the
+// receiver of a message that takes longer than the silence allowed, although it arrives.
+func TestLargeMessageOverSlowLinkCountsAsSilence(t *testing.T) {
+	const silence, parts = 400 * time.Millisecond, 8
+	message := []byte(`{"text":"` + strings.Repeat("x", 8<<10) + "\"}\n")
+	sendSlowly := func(s *Stream) {
+		for i := range parts {
+			_ = s.write(message[i*len(message)/parts : (i+1)*len(message)/parts])
+			time.Sleep(silence / 4)
+		}
+	}
+	for _, compress := range []bool{false, true} {
+		received := make(chan error, 1)
+		url := serveStreams(t, silence, func(s *Stream) {
+			var sender sync.WaitGroup
+			sender.Go(func() { sendSlowly(s) })
+			// The handler must not return before its last write has ended.
+			defer sender.Wait()
+			var m testMessage
+			received <- s.Receive(&m)
+			_ = s.Receive(&m)
+		})
+		s, err := Open(t.Context(), http.DefaultClient, url, Options{Answer: testSilence, Silence: silence, Compress: compress})
+		require.NoError(t, err)
+		go sendSlowly(s)
+		var m testMessage
+		require.NoError(t, s.Receive(&m))
+		require.NoError(t, <-received)
+		s.Close()
+	}
+}
--- a/edge/owner_link.go
+++ b/edge/owner_link.go
@@ -17,7 +17,7 @@
 
 // Limits and intervals of links.
 const (
-	// linkSilence is how long a link may be without a message before it is closed.
+	// linkSilence is how long a link may bring nothing before it is closed.
 	linkSilence = 2500 * time.Millisecond
 	// linkHeartbeat is the longest time between two messages of one side.
 	linkHeartbeat = time.Second
