Send a read again whose answer does not begin

Now such a read is sent once more after 0.45 s if its answer has not begun and no part of another large answer has arrived for 0.2 s, so that a busy link gets no copies. Once one of the two begins, the other is broken off.

TestLostAnswerDelaysReadsByTheirWholeTimeLimit and TestCopyOfReadSharesLinkWithItsAnswer failed before (one call, no answer) and pass, 5 runs with the race detector. TestLargeReadIsSentSeveralTimes still holds.

--- a/edge/relay.go
+++ b/edge/relay.go
@@ -61,7 +61,9 @@
 	lastAnswer atomic.Int64
 	// lastDirectAnswer is when the store last answered this node without a peer.
 	lastDirectAnswer atomic.Int64
-	hedge            hedger
+	// lastPart is when the last part of a large answer arrived.
+	lastPart atomic.Int64
+	hedge    hedger
 }
 
 // SendCall sends a call to the store, directly or through a peer.
@@ -214,12 +216,16 @@
 var errSilentStore = errors.New("call store: it answers a peer but not this node")
 
 // callWithHedging calls the store. After two attempts without an answer, the last
-// one goes through the first of the peers. A call whose answer may take long is sent once.
+// one goes through the first of the peers. A long poll is sent once.
 func (r *Relay) callWithHedging(ctx context.Context, c core.StoreCall, peers []string) (status int, data []byte, viaPeer bool, err error) {
-	if c.LongPoll || c.AnswerWithin > 0 {
+	switch {
+	case c.LongPoll:
 		c.OnProgress = func() { r.lastDirectAnswer.Store(int64(monotonicNow())) }
 		status, data, err = r.Direct(ctx, c)
 		return status, data, false, err
+	case c.AnswerWithin > 0:
+		a := r.readLarge(ctx, c)
+		return a.status, a.data, false, a.err
 	}
 	ctx, cancel := context.WithTimeout(ctx, directTimeout+transferTime(len(c.Body)))
 	defer cancel()
@@ -230,6 +236,80 @@
 	return r.hedge.call(ctx, r.Direct, fallback, c)
 }
 
+const (
+	// readResendDelay is how long a read whose answer may be large waits for it before it
+	// is sent again; even a slow store answers within a third of a second.
+	readResendDelay = 450 * time.Millisecond
+	// partInterval is how long after a part of a large answer the link counts as busy.
+	partInterval = 200 * time.Millisecond
+	// maxReadAttempts is how often such a read is sent at most.
+	maxReadAttempts = 2
+)
+
+// recordPart records that a part of a large answer has arrived.
+func (r *Relay) recordPart() {
+	now := int64(monotonicNow())
+	r.lastDirectAnswer.Store(now)
+	r.lastPart.Store(now)
+}
+
+// readLarge sends a read whose answer may be large. As the store may lose single answers,
+// it is sent again if its answer does not begin, unless parts of others keep the link busy.
+// Once one answer begins, the other is broken off.
+func (r *Relay) readLarge(ctx context.Context, c core.StoreCall) attemptResult {
+	results := make(chan attemptResult, maxReadAttempts)
+	var cancels [maxReadAttempts]context.CancelFunc
+	var contexts [maxReadAttempts]context.Context
+	for i := range cancels {
+		contexts[i], cancels[i] = context.WithCancel(ctx)
+		defer cancels[i]()
+	}
+	var begun sync.Once
+	attempt := func(i int) {
+		c := c
+		c.OnProgress = func() {
+			r.recordPart()
+			begun.Do(func() {
+				for j, cancel := range cancels {
+					if j != i {
+						cancel()
+					}
+				}
+			})
+		}
+		status, data, err := r.Direct(contexts[i], c)
+		results <- attemptResult{status: status, data: data, err: err}
+	}
+	go attempt(0)
+	sent, failed := 1, 0
+	var last attemptResult
+	t := time.NewTimer(readResendDelay)
+	defer t.Stop()
+	for {
+		select {
+		case a := <-results:
+			if isServed(a.status, a.err) {
+				return a
+			}
+			if failed++; failed == 1 || !errors.Is(a.err, context.Canceled) {
+				last = a
+			}
+			if failed == sent {
+				return last
+			}
+		case <-t.C:
+			switch {
+			case sent == maxReadAttempts || contexts[sent].Err() != nil:
+			case monotonicNow() < time.Duration(r.lastPart.Load())+partInterval:
+				t.Reset(partInterval)
+			default:
+				go attempt(sent)
+				sent++
+			}
+		}
+	}
+}
+
 // minTransferRate is the rate, in bytes per second, at which a node sends at least: well
 // below the slowest link, which other calls share.
 const minTransferRate = 64 << 10
--- a/edge/relay_test.go
+++ b/edge/relay_test.go
@@ -197,3 +197,73 @@
 	require.Equal(t, 1, calls)
 	require.False(t, r.isStoreSilent())
 }
+
+// TestLostAnswerDelaysReadsByTheirWholeTimeLimit guards against a takeover that waits for
+// each answer that the store loses until the read's limit ends, and fails after a few.
+func TestLostAnswerDelaysReadsByTheirWholeTimeLimit(t *testing.T) {
+	for name, c := range map[string]struct {
+		otherArrives bool
+		wantCalls    int32
+	}{
+		"the answer is lost":                       {false, 2},
+		"another large answer keeps the link busy": {true, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var calls atomic.Int32
+			r := &Relay{Log: eventlog.Nop(), peers: func() []string { return nil }}
+			r.Direct = func(ctx context.Context, call core.StoreCall) (int, []byte, error) {
+				if calls.Add(1) > 1 {
+					call.OnProgress()
+					return http.StatusOK, []byte("page"), nil
+				}
+				for range 10 {
+					if c.otherArrives {
+						r.recordPart()
+					}
+					select {
+					case <-time.After(call.AnswerWithin / 10):
+					case <-ctx.Done():
+						return 0, nil, ctx.Err()
+					}
+				}
+				return 0, nil, context.DeadlineExceeded
+			}
+			r.lastDirectAnswer.Store(int64(monotonicNow() + time.Minute))
+			_, data, err := r.SendCall(t.Context(), core.StoreCall{AnswerWithin: 2 * readResendDelay})
+			require.Equal(t, c.wantCalls, calls.Load())
+			if c.wantCalls > 1 {
+				require.NoError(t, err)
+				require.Equal(t, "page", string(data))
+			} else {
+				require.ErrorIs(t, err, context.DeadlineExceeded)
+			}
+			require.False(t, r.isDirectDown())
+		})
+	}
+}
+
+// TestCopyOfReadSharesLinkWithItsAnswer guards against two copies of a large answer that
+// arrive at the same time: once one begins, the other is broken off.
+func TestCopyOfReadSharesLinkWithItsAnswer(t *testing.T) {
+	var calls, brokenOff atomic.Int32
+	r := &Relay{Log: eventlog.Nop(), peers: func() []string { return nil }}
+	r.Direct = func(ctx context.Context, call core.StoreCall) (int, []byte, error) {
+		if calls.Add(1) > 1 {
+			<-ctx.Done()
+			brokenOff.Add(1)
+			return 0, nil, ctx.Err()
+		}
+		time.Sleep(3 * readResendDelay / 2)
+		call.OnProgress()
+		for brokenOff.Load() == 0 && ctx.Err() == nil {
+			time.Sleep(time.Millisecond)
+		}
+		return http.StatusOK, nil, ctx.Err()
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 10*readResendDelay)
+	defer cancel()
+	status, _, err := r.SendCall(ctx, core.StoreCall{AnswerWithin: time.Second})
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, status)
+	require.Equal(t, int32(2), calls.Load())
+}
