Give up a claim whose records are read too slowly

What callers would see: no owner for as long as one node with a squeezed link reads the records, or one that the store does not serve and that reads through peers, although other nodes could read them at once; accepted jobs don't run meanwhile.

At 25 kB/s, a tenth of the slowest link, a megabyte takes 40 s (worked out), and the same node could claim again at once.

Now a claimer has 4 s and the time that its bytes take at 64 kB/s, a quarter of the slowest link; one that is slower gives up the claim, and lets others claim first for 5 s. The time doubles with each claim that a node gave up in a row, so that records are read also if all nodes are slow.

TestRecordsLargerThanLinkCarriesInTimeStopEachNewOwner still passes. Tests that pass OnProgress have its new argument; what they check is unchanged.

--- a/core/metadata.go
+++ b/core/metadata.go
@@ -69,8 +69,9 @@
 	// AnswerWithin, if not zero, limits the time until the answer begins. Such an answer
 	// may be large, and may take as long as it makes progress.
 	AnswerWithin time.Duration `json:"answer_within,omitempty"`
-	// OnProgress is called for each part of an answer that arrives; it may be nil.
-	OnProgress func() `json:"-"`
+	// OnProgress is called when an answer begins, and for each part of it that arrives, with
+	// the number of bytes since the last call; it may be nil.
+	OnProgress func(bytes int) `json:"-"`
 }
 
 // MetadataStore is the platform's key-value store for configurations and records.
--- a/edge/owner.go
+++ b/edge/owner.go
@@ -53,6 +53,7 @@
 	errNotOwner       = errors.New("inspect kernel: this node no longer owns the pools")
 	errOutageReported = errors.New("claim pools: an owner may rely on this node's report that the store is unreachable")
 	errUncertain      = errors.New("call owner: no answer, the outcome is unknown")
+	errReadsTooSlow   = errors.New("keep the claim: this node reads the records too slowly")
 	errLeaseLost      = errors.New("keep the claim: its lease could not be renewed in time")
 )
 
@@ -84,6 +85,12 @@
 	reportValidUntil func() time.Duration
 	// cutOff reports whether the store does not answer this node directly.
 	cutOff func() bool
+	// received returns how many bytes of large answers the store has sent.
+	received func() int64
+	// slowReads counts the claims in a row that this node gave up since it read the
+	// records too slowly, the last of them at gaveUpAt. Only run uses both.
+	slowReads int
+	gaveUpAt  time.Duration
 	// claimingOrOwning is set while this node claims or owns the pools.
 	claimingOrOwning atomic.Bool
 	// stopping keeps a node that shuts down from claiming.
@@ -180,7 +187,8 @@
 	d := time.Duration(max(1-o.cores, 0) * float64(slowVMClaimDelay))
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if (o.yieldedAt != 0 && monotonicNow() < o.yieldedAt+yieldClaimDelayPeriod) || o.cutOff() {
+	isRecent := func(at time.Duration) bool { return at != 0 && monotonicNow() < at+yieldClaimDelayPeriod }
+	if isRecent(o.yieldedAt) || isRecent(o.gaveUpAt) || o.cutOff() {
 		d += yieldClaimDelay
 	}
 	return d
@@ -241,7 +249,8 @@
 	k.Step(now(), cell.Configured{Configuration: o.operatorState().Configuration})
 	loading, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	// The records are loaded for as long as the lease is renewed.
+	// The records are loaded for as long as the lease is renewed and the reads are not too
+	// slow.
 	renewedUntil := make(chan time.Duration, 1)
 	go func() { renewedUntil <- o.renewWhileLoading(loading, cancel, claim) }()
 	w, err := newWriter(loading, o.store, o.codec, o.log, claim.token, claim.sequence.Generation)
@@ -250,8 +259,15 @@
 	}
 	cancel(nil)
 	until := <-renewedUntil
-	if errors.Is(context.Cause(loading), errLeaseLost) || (err == nil && monotonicNow() > until) {
+	switch cause := context.Cause(loading); {
+	case errors.Is(cause, errLeaseLost) || (err == nil && monotonicNow() > until):
 		err = errLeaseLost
+	case err != nil && errors.Is(cause, errReadsTooSlow):
+		err = errReadsTooSlow
+		o.slowReads++
+		o.gaveUpAt = monotonicNow()
+	case err == nil:
+		o.slowReads = 0
 	}
 	if err != nil {
 		o.revokeLease(ctx, claim.lease)
@@ -395,9 +411,11 @@
 }
 
 // renewWhileLoading renews the lease until ctx ends, and returns until when the
-// lease is known to last. It cancels ctx once the lease is lost.
+// lease is known to last. It cancels ctx once the lease is lost, or the records are read
+// too slowly, so that another node can claim.
 func (o *ownership) renewWhileLoading(ctx context.Context, cancel context.CancelCauseFunc, c grantedClaim) time.Duration {
 	until := c.until
+	began, received := monotonicNow(), o.received()
 	for ctx.Err() == nil {
 		sent := monotonicNow()
 		renew, end := context.WithTimeout(ctx, ownerLeaseTTL)
@@ -409,11 +427,24 @@
 		case errors.Is(err, core.ErrNotFound) || monotonicNow() > until:
 			cancel(errLeaseLost)
 		}
+		if monotonicNow() > began+o.loadTime(o.received()-received) {
+			cancel(errReadsTooSlow)
+		}
 		sleep(ctx, ownerRenewInterval)
 	}
 	return until
 }
 
+// maxSlowReadDoublings limits how often the time for reading the records is doubled.
+const maxSlowReadDoublings = 6
+
+// loadTime returns how long this node may read records before it gives up its claim, if it
+// has received the given number of bytes. The time doubles with each claim that it gave up,
+// as all nodes may be slow.
+func (o *ownership) loadTime(bytes int64) time.Duration {
+	return (claimTimeout + transferTime(int(bytes))) << min(o.slowReads, maxSlowReadDoublings)
+}
+
 // renewUntilLost renews the lease until the ownership is lost, and returns the
 // reason.
 func (o *ownership) renewUntilLost(ctx context.Context, h *host, c grantedClaim, endReasons <-chan string) string {
--- a/edge/process.go
+++ b/edge/process.go
@@ -97,7 +97,7 @@
 		relay: d.Relay, peerClient: d.PeerClient, log: d.Log, metrics: d.Metrics,
 	}
 	p.ownership = &ownership{
-		reportValidUntil: p.outage.reportValidUntil, cutOff: func() bool { return false },
+		reportValidUntil: p.outage.reportValidUntil, cutOff: func() bool { return false }, received: func() int64 { return 0 },
 		self:  ownerRecord{Node: s.Node, Incarnation: p.incarnation, Address: s.Peer},
 		store: d.Store, codec: d.Codec, executors: d.Executors, vms: d.VMs, advisor: d.Advisor,
 		settings: s.Kernel, cores: s.Cores, log: d.Log, metrics: d.Metrics, recordChanged: make(chan struct{}),
@@ -110,6 +110,7 @@
 	if d.Relay != nil {
 		d.Relay.peers = p.listPeers
 		p.ownership.cutOff = d.Relay.isCutOff
+		p.ownership.received = d.Relay.received.Load
 	}
 	return p
 }
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -63,6 +63,8 @@
 	lastDirectAnswer atomic.Int64
 	// lastPart is when the last part of a large answer arrived.
 	lastPart atomic.Int64
+	// received counts the bytes of large answers, directly or through a peer.
+	received atomic.Int64
 	hedge    hedger
 }
 
@@ -109,6 +111,7 @@
 		status, data, err := r.callPeer(ctx, p, c)
 		if isServed(status, err) {
 			r.lastAnswer.Store(int64(monotonicNow()))
+			r.received.Add(int64(len(data)))
 			r.setRelayPeer(p)
 			return status, data, nil
 		}
@@ -220,7 +223,7 @@
 func (r *Relay) callWithHedging(ctx context.Context, c core.StoreCall, peers []string) (status int, data []byte, viaPeer bool, err error) {
 	switch {
 	case c.LongPoll:
-		c.OnProgress = func() { r.lastDirectAnswer.Store(int64(monotonicNow())) }
+		c.OnProgress = func(int) { r.lastDirectAnswer.Store(int64(monotonicNow())) }
 		status, data, err = r.Direct(ctx, c)
 		return status, data, false, err
 	case c.AnswerWithin > 0:
@@ -247,7 +250,8 @@
 )
 
 // recordPart records that a part of a large answer has arrived.
-func (r *Relay) recordPart() {
+func (r *Relay) recordPart(bytes int) {
+	r.received.Add(int64(bytes))
 	now := int64(monotonicNow())
 	r.lastDirectAnswer.Store(now)
 	r.lastPart.Store(now)
@@ -267,8 +271,8 @@
 	var begun sync.Once
 	attempt := func(i int) {
 		c := c
-		c.OnProgress = func() {
-			r.recordPart()
+		c.OnProgress = func(bytes int) {
+			r.recordPart(bytes)
 			begun.Do(func() {
 				for j, cancel := range cancels {
 					if j != i {
--- a/edge/relay_test.go
+++ b/edge/relay_test.go
@@ -187,7 +187,7 @@
 			calls++
 			for range 4 {
 				time.Sleep(directTimeout / 3)
-				c.OnProgress()
+				c.OnProgress(1)
 			}
 			return http.StatusOK, nil, nil
 		},
@@ -213,12 +213,12 @@
 			r := &Relay{Log: eventlog.Nop(), peers: func() []string { return nil }}
 			r.Direct = func(ctx context.Context, call core.StoreCall) (int, []byte, error) {
 				if calls.Add(1) > 1 {
-					call.OnProgress()
+					call.OnProgress(1)
 					return http.StatusOK, []byte("page"), nil
 				}
 				for range 10 {
 					if c.otherArrives {
-						r.recordPart()
+						r.recordPart(1)
 					}
 					select {
 					case <-time.After(call.AnswerWithin / 10):
@@ -254,7 +254,7 @@
 			return 0, nil, ctx.Err()
 		}
 		time.Sleep(3 * readResendDelay / 2)
-		call.OnProgress()
+		call.OnProgress(1)
 		for brokenOff.Load() == 0 && ctx.Err() == nil {
 			time.Sleep(time.Millisecond)
 		}
