Limit how long one peer may take to relay a call

What callers would see: a node whose store path is refused, and whose peer falls silent on an open connection, hangs: the renewal of its own entry has no deadline, so that the entry vanishes after 10 s and the node is no longer found. A call with a deadline spends all of it on the first peer; the owner's renewal of its lease has 1.5 s.

Cause: each relayed call had only the limit of its caller, shared by up to three peers. Only large reads had one, also shared by all peers.

Now each peer has the time that its own call to the store may take, and 0.4 s.

TestSilentPeerHoldsCallWithoutLimit failed before (the deadline of the test) and passes.

--- a/edge/relay.go
+++ b/edge/relay.go
@@ -32,7 +32,9 @@
 	// relayedTransferTime is how much longer a large answer may take through a peer, which
 	// first reads it whole.
 	relayedTransferTime = 4 * time.Second
-	relayPath           = "/store"
+	// peerCallMargin is how much longer a call through a peer takes than a direct one.
+	peerCallMargin = 400 * time.Millisecond
+	relayPath      = "/store"
 )
 
 // Relay sends calls to the store directly or, while the store refuses this node,
@@ -97,18 +99,11 @@
 			r.markDirectDown(err)
 		}
 	}
-	if c.AnswerWithin > 0 {
-		limit := c.AnswerWithin
-		if !c.LongPoll {
-			limit += relayedTransferTime
-		}
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, limit)
-		defer cancel()
-	}
 	lastErr := fmt.Errorf("relay call to store: no peer is listed")
 	for _, p := range peers[:min(len(peers), maxPeerAttempts)] {
-		status, data, err := r.callPeer(ctx, p, c)
+		limited, cancel := context.WithTimeout(ctx, relayTimeout(c))
+		status, data, err := r.callPeer(limited, p, c)
+		cancel()
 		if isServed(status, err) {
 			r.lastAnswer.Store(int64(monotonicNow()))
 			r.received.Add(int64(len(data)))
@@ -123,6 +118,18 @@
 	return 0, nil, lastErr
 }
 
+// relayTimeout returns how long one peer may take to relay a call, whose body is sent to the
+// peer and from there to the store.
+func relayTimeout(c core.StoreCall) time.Duration {
+	switch {
+	case c.LongPoll:
+		return c.AnswerWithin
+	case c.AnswerWithin > 0:
+		return c.AnswerWithin + relayedTransferTime
+	}
+	return directTimeout + 2*transferTime(len(c.Body)) + peerCallMargin
+}
+
 // maxPeerAttempts is how many peers are asked to relay a call: the store may refuse
 // one of three nodes.
 const maxPeerAttempts = 3
--- a/edge/relay_test.go
+++ b/edge/relay_test.go
@@ -267,3 +267,25 @@
 	require.Equal(t, http.StatusOK, status)
 	require.Equal(t, int32(2), calls.Load())
 }
+
+// TestSilentPeerHoldsCallWithoutLimit guards against a peer that takes a call and never
+// answers: a caller without a deadline of its own waited for ever, such as the renewal of the
+// node's own entry, and the other peers were not asked.
+func TestSilentPeerHoldsCallWithoutLimit(t *testing.T) {
+	client := &http.Client{Transport: roundTripFunc(func(req *http.Request) (*http.Response, error) {
+		if req.URL.Host == "serving" && req.Context().Err() == nil {
+			return &http.Response{StatusCode: http.StatusOK, Body: http.NoBody}, nil
+		}
+		<-req.Context().Done()
+		return nil, req.Context().Err()
+	})}
+	r := &Relay{
+		directDown: true, relayPeer: "silent", Client: client, Log: eventlog.Nop(),
+		peers: func() []string { return []string{"silent", "serving"} },
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 4*directTimeout)
+	defer cancel()
+	_, _, err := r.SendCall(ctx, core.StoreCall{})
+	require.NoError(t, err)
+	require.Equal(t, "serving", r.relayPeer)
+}
