Send a large transaction again as soon as the link allows

What callers would see: while the store loses answers, a transaction of 64 kB is repeated after 1.5 s instead of 0.1 to 0.3 s, on every link; submissions wait for 1.2 s and are then uncertain.

Now the wait comes from the bandwidth in the settings, of which a call has a quarter. The limit on the whole call stays as it is. On the slowest link nothing changes; a fast one that is squeezed carries up to two copies more, of 64 kB at most each.

TestLostAnswerOfLargeTransactionIsWaitedForOnFastLink failed before (4.1 s for four times that size) and passes. Tests of the hedger pass the new argument as zero, as before.

--- a/commands/edge.go
+++ b/commands/edge.go
@@ -42,6 +42,8 @@
 	// slowLinkMbps is the bandwidth in Mbit/s below which messages between nodes are
 	// compressed. The owner of 1,100 executors sends and receives 15 Mbit/s.
 	slowLinkMbps = 10
+	// bytesPerSOfMbps converts Mbit/s to bytes per second.
+	bytesPerSOfMbps = 1e6 / 8
 	// slowListVMsInterval is the time between two reads of the list of VMs over such a
 	// link.
 	slowListVMsInterval = 2 * time.Second
@@ -61,7 +63,10 @@
 	log := eventlog.New(zapcore.AddSync(logWriter))
 	peers := platform.NewHTTPClient(peerConns, 0)
 	store := &platform.StoreClient{Address: settings.Platform.Address, Client: platform.NewHTTPClient(storeConns, 0)}
-	relay := &edge.Relay{Direct: store.Direct, Probe: platform.ProbeCall(), Client: peers, Log: log}
+	relay := &edge.Relay{
+		Direct: store.Direct, Probe: platform.ProbeCall(), Client: peers, Log: log,
+		LinkBytesPerS: settings.Limits.LinkMbps * bytesPerSOfMbps,
+	}
 	store.SendCall = relay.SendCall
 	kernelSettings := settings.Bounds.KernelSettings()
 	kernelSettings.VMOrdersPerS = settings.CloudAPI.DutyPerS
--- a/edge/hedge.go
+++ b/edge/hedge.go
@@ -62,10 +62,11 @@
 }
 
 // call sends a call until the store serves it, all attempts have failed, or ctx
-// ends. It repeats attempts without an answer, but not attempts that failed. The
-// last attempt uses fallback, which goes through a peer and may be nil; viaPeer
+// ends. It repeats attempts without an answer, but not attempts that failed; sending one
+// takes up to sendTime, as copies of a call that is still being sent would share its link.
+// The last attempt uses fallback, which goes through a peer and may be nil; viaPeer
 // reports whether that attempt was the one that was served.
-func (h *hedger) call(ctx context.Context, send, fallback storeCallFunc, c core.StoreCall) (status int, data []byte, viaPeer bool, err error) {
+func (h *hedger) call(ctx context.Context, send, fallback storeCallFunc, c core.StoreCall, sendTime time.Duration) (status int, data []byte, viaPeer bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	results := make(chan attemptResult, maxHedgeAttempts)
@@ -76,8 +77,7 @@
 	}
 	go attempt(send, false)
 	attempts, failed := 1, 0
-	// Copies of a call that is still being sent would share its link.
-	delay := h.resendDelay() + transferTime(len(c.Body))
+	delay := h.resendDelay() + sendTime
 	t := time.NewTimer(delay)
 	defer t.Stop()
 	for {
--- a/edge/hedge_test.go
+++ b/edge/hedge_test.go
@@ -59,7 +59,7 @@
 				defer cancel()
 			}
 			var h hedger
-			status, _, _, err := h.call(ctx, send, nil, core.StoreCall{})
+			status, _, _, err := h.call(ctx, send, nil, core.StoreCall{}, 0)
 			require.Equal(t, c.failed, err != nil)
 			require.Equal(t, c.status, status)
 			require.Equal(t, c.sent, sent.Load())
@@ -87,7 +87,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			var h hedger
-			status, _, viaPeer, err := h.call(context.Background(), c.direct, peer, core.StoreCall{})
+			status, _, viaPeer, err := h.call(context.Background(), c.direct, peer, core.StoreCall{}, 0)
 			require.NoError(t, err)
 			require.Equal(t, c.status, status)
 			require.Equal(t, c.viaPeer, viaPeer)
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -47,8 +47,10 @@
 	Probe core.StoreCall
 	// Client calls peers.
 	Client *http.Client
-	Log    *eventlog.Log
-	peers  func() []string
+	// LinkBytesPerS is the bandwidth of this VM's link, zero if it is not known.
+	LinkBytesPerS float64
+	Log           *eventlog.Log
+	peers         func() []string
 
 	mu sync.Mutex
 	// directDown is set while the store does not serve this node directly.
@@ -243,7 +245,7 @@
 	if len(peers) > 0 {
 		fallback = func(ctx context.Context, c core.StoreCall) (int, []byte, error) { return r.callPeer(ctx, peers[0], c) }
 	}
-	return r.hedge.call(ctx, r.Direct, fallback, c)
+	return r.hedge.call(ctx, r.Direct, fallback, c, r.sendTime(len(c.Body)))
 }
 
 const (
@@ -330,6 +332,15 @@
 	return time.Duration(bytes) * time.Second / minTransferRate
 }
 
+// linkShare is the share of the link that a call has at least, beside all others.
+const linkShare = 0.25
+
+// sendTime returns how long sending a body of the given size takes over this VM's link, which
+// other calls share. It is far shorter than transferTime on a fast link.
+func (r *Relay) sendTime(bytes int) time.Duration {
+	return time.Duration(float64(bytes) / max(linkShare*r.LinkBytesPerS, minTransferRate) * float64(time.Second))
+}
+
 // callPeer asks a peer to relay a call to the store.
 func (r *Relay) callPeer(ctx context.Context, peer string, c core.StoreCall) (int, []byte, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+peer+relayPath, bytes.NewReader(mustEncode(c)))
--- a/edge/relay_test.go
+++ b/edge/relay_test.go
@@ -289,3 +289,23 @@
 	require.NoError(t, err)
 	require.Equal(t, "serving", r.relayPeer)
 }
+
+// TestLostAnswerOfLargeTransactionIsWaitedForOnFastLink guards against a resend that waits on
+// every link for as long as the slowest would take to send the call.
+func TestLostAnswerOfLargeTransactionIsWaitedForOnFastLink(t *testing.T) {
+	const size = 4 * minTransferRate
+	var calls atomic.Int32
+	r := &Relay{Log: eventlog.Nop(), peers: func() []string { return nil }, LinkBytesPerS: 125e6}
+	r.Direct = func(ctx context.Context, _ core.StoreCall) (int, []byte, error) {
+		if calls.Add(1) > 1 {
+			return http.StatusOK, nil, nil
+		}
+		<-ctx.Done()
+		return 0, nil, ctx.Err()
+	}
+	began := monotonicNow()
+	_, _, err := r.SendCall(t.Context(), core.StoreCall{Body: make([]byte, size)})
+	require.NoError(t, err)
+	require.Less(t, monotonicNow()-began, transferTime(size)/2)
+	require.Equal(t, transferTime(size), (&Relay{LinkBytesPerS: 250e3}).sendTime(size), "the slowest link")
+}
