Let a long list of an executor's runs arrive

What callers would see: after a time without an owner, on a node with a slow link, executors with many ended runs count as silent; their runs expire and start elsewhere.

A list holds up to 500 ended runs, some 35 kB (from the format); 2 Mbit/s carry four such in that time, and a node carries up to 31 executors. An executor that was missed is asked again after 0.3 s with nothing acknowledged, so that its list does not get shorter, for all of them at once.

--- a/edge/host.go
+++ b/edge/host.go
@@ -27,8 +27,9 @@
 	// orderTimeout limits a call to an executor. Without an answer, the outcome is
 	// taken from the executor's next renewal.
 	orderTimeout = 500 * time.Millisecond
-	// renewGrace is how much longer than its waiting time a renewal may take.
-	renewGrace = 600 * time.Millisecond
+	// renewTime is how much longer than its waiting time a renewal may take. Its answer may
+	// list hundreds of runs; a silent executor shows earlier.
+	renewTime = 2500 * time.Millisecond
 	// vmOrderTimeout limits a call to the platform's interface for VMs.
 	vmOrderTimeout = 1500 * time.Millisecond
 	// listVMsTimeout limits a read of the list of VMs, whose pages are limited by their
--- a/edge/host_test.go
+++ b/edge/host_test.go
@@ -228,3 +228,27 @@
 	h.startCall(cell.ListVMs{})
 	require.IsType(t, cell.VMsListed{}, <-listed)
 }
+
+// slowExecutor answers renewals late.
+type slowExecutor struct {
+	core.ExecutorClient
+	takes time.Duration
+}
+
+func (s slowExecutor) Renew(ctx context.Context, _ fleet.Renewal) fleet.ExecutorState {
+	select {
+	case <-time.After(s.takes):
+		return fleet.ExecutorState{Outcome: fleet.OrderDone}
+	case <-ctx.Done():
+		return fleet.ExecutorState{Outcome: fleet.OrderUnknown}
+	}
+}
+
+// TestListOfRunsThatTakesLongIsCutOff guards against a limit on renewals that a long list of
+// runs does not keep over a slow link, here or where a node carries the renewal.
+func TestListOfRunsThatTakesLongIsCutOff(t *testing.T) {
+	o := carriedOrder{Renew: &fleet.Renewal{Executor: "x"}}
+	r := o.send(t.Context(), slowExecutor{takes: 1200 * time.Millisecond})
+	require.Equal(t, fleet.OrderDone, r.State.Outcome)
+	require.Greater(t, o.timeout(), 2*time.Second)
+}
--- a/edge/order.go
+++ b/edge/order.go
@@ -43,7 +43,7 @@
 // timeout returns how long the call to the executor may take.
 func (o *carriedOrder) timeout() time.Duration {
 	if o.Renew != nil {
-		return time.Duration(o.Renew.WaitMs)*time.Millisecond + renewGrace
+		return time.Duration(o.Renew.WaitMs)*time.Millisecond + renewTime
 	}
 	return orderTimeout
 }
