--- a/edge/relay.go
+++ b/edge/relay.go
@@ -32,7 +32,9 @@
 	// relayedTransferTime is how much longer a large answer may take through a peer, which
 	// first reads it whole.
 	relayedTransferTime = 4 * time.Second
-	relayPath           = "/store"
+	// peerCallMargin is how much longer a call through a peer takes than a direct one.
+	peerCallMargin = 400 * time.Millisecond
+	relayPath      = "/store"
 )
 
 // Relay sends calls to the store directly or, while the store refuses this node,
@@ -45,8 +47,10 @@
 	Probe core.StoreCall
 	// Client calls peers.
 	Client *http.Client
-	Log    *eventlog.Log
-	peers  func() []string
+	// LinkBytesPerS is the bandwidth of this VM's link, zero if it is not known.
+	LinkBytesPerS float64
+	Log           *eventlog.Log
+	peers         func() []string
 
 	mu sync.Mutex
 	// directDown is set while the store does not serve this node directly.
@@ -61,7 +65,11 @@
 	lastAnswer atomic.Int64
 	// lastDirectAnswer is when the store last answered this node without a peer.
 	lastDirectAnswer atomic.Int64
-	hedge            hedger
+	// lastPart is when the last part of a large answer arrived.
+	lastPart atomic.Int64
+	// received counts the bytes of large answers, directly or through a peer.
+	received atomic.Int64
+	hedge    hedger
 }
 
 // SendCall sends a call to the store, directly or through a peer.
@@ -93,20 +101,14 @@
 			r.markDirectDown(err)
 		}
 	}
-	if c.AnswerWithin > 0 {
-		limit := c.AnswerWithin
-		if !c.LongPoll {
-			limit += relayedTransferTime
-		}
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, limit)
-		defer cancel()
-	}
 	lastErr := fmt.Errorf("relay call to store: no peer is listed")
 	for _, p := range peers[:min(len(peers), maxPeerAttempts)] {
-		status, data, err := r.callPeer(ctx, p, c)
+		limited, cancel := context.WithTimeout(ctx, relayTimeout(c))
+		status, data, err := r.callPeer(limited, p, c)
+		cancel()
 		if isServed(status, err) {
 			r.lastAnswer.Store(int64(monotonicNow()))
+			r.received.Add(int64(len(data)))
 			r.setRelayPeer(p)
 			return status, data, nil
 		}
@@ -118,6 +120,18 @@
 	return 0, nil, lastErr
 }
 
+// relayTimeout returns how long one peer may take to relay a call, whose body is sent to the
+// peer and from there to the store.
+func relayTimeout(c core.StoreCall) time.Duration {
+	switch {
+	case c.LongPoll:
+		return c.AnswerWithin
+	case c.AnswerWithin > 0:
+		return c.AnswerWithin + relayedTransferTime
+	}
+	return directTimeout + 2*transferTime(len(c.Body)) + peerCallMargin
+}
+
 // maxPeerAttempts is how many peers are asked to relay a call: the store may refuse
 // one of three nodes.
 const maxPeerAttempts = 3
@@ -214,12 +228,16 @@
 var errSilentStore = errors.New("call store: it answers a peer but not this node")
 
 // callWithHedging calls the store. After two attempts without an answer, the last
-// one goes through the first of the peers. A call whose answer may take long is sent once.
+// one goes through the first of the peers. A long poll is sent once.
 func (r *Relay) callWithHedging(ctx context.Context, c core.StoreCall, peers []string) (status int, data []byte, viaPeer bool, err error) {
-	if c.LongPoll || c.AnswerWithin > 0 {
-		c.OnProgress = func() { r.lastDirectAnswer.Store(int64(monotonicNow())) }
+	switch {
+	case c.LongPoll:
+		c.OnProgress = func(int) { r.lastDirectAnswer.Store(int64(monotonicNow())) }
 		status, data, err = r.Direct(ctx, c)
 		return status, data, false, err
+	case c.AnswerWithin > 0:
+		a := r.readLarge(ctx, c)
+		return a.status, a.data, false, a.err
 	}
 	ctx, cancel := context.WithTimeout(ctx, directTimeout+transferTime(len(c.Body)))
 	defer cancel()
@@ -227,7 +245,82 @@
 	if len(peers) > 0 {
 		fallback = func(ctx context.Context, c core.StoreCall) (int, []byte, error) { return r.callPeer(ctx, peers[0], c) }
 	}
-	return r.hedge.call(ctx, r.Direct, fallback, c)
+	return r.hedge.call(ctx, r.Direct, fallback, c, r.sendTime(len(c.Body)))
+}
+
+const (
+	// readResendDelay is how long a read whose answer may be large waits for it before it
+	// is sent again; even a slow store answers within a third of a second.
+	readResendDelay = 450 * time.Millisecond
+	// partInterval is how long after a part of a large answer the link counts as busy.
+	partInterval = 200 * time.Millisecond
+	// maxReadAttempts is how often such a read is sent at most.
+	maxReadAttempts = 2
+)
+
+// recordPart records that a part of a large answer has arrived.
+func (r *Relay) recordPart(bytes int) {
+	r.received.Add(int64(bytes))
+	now := int64(monotonicNow())
+	r.lastDirectAnswer.Store(now)
+	r.lastPart.Store(now)
+}
+
+// readLarge sends a read whose answer may be large. As the store may lose single answers,
+// it is sent again if its answer does not begin, unless parts of others keep the link busy.
+// Once one answer begins, the other is broken off.
+func (r *Relay) readLarge(ctx context.Context, c core.StoreCall) attemptResult {
+	results := make(chan attemptResult, maxReadAttempts)
+	var cancels [maxReadAttempts]context.CancelFunc
+	var contexts [maxReadAttempts]context.Context
+	for i := range cancels {
+		contexts[i], cancels[i] = context.WithCancel(ctx)
+		defer cancels[i]()
+	}
+	var begun sync.Once
+	attempt := func(i int) {
+		c := c
+		c.OnProgress = func(bytes int) {
+			r.recordPart(bytes)
+			begun.Do(func() {
+				for j, cancel := range cancels {
+					if j != i {
+						cancel()
+					}
+				}
+			})
+		}
+		status, data, err := r.Direct(contexts[i], c)
+		results <- attemptResult{status: status, data: data, err: err}
+	}
+	go attempt(0)
+	sent, failed := 1, 0
+	var last attemptResult
+	t := time.NewTimer(readResendDelay)
+	defer t.Stop()
+	for {
+		select {
+		case a := <-results:
+			if isServed(a.status, a.err) {
+				return a
+			}
+			if failed++; failed == 1 || !errors.Is(a.err, context.Canceled) {
+				last = a
+			}
+			if failed == sent {
+				return last
+			}
+		case <-t.C:
+			switch {
+			case sent == maxReadAttempts || contexts[sent].Err() != nil:
+			case monotonicNow() < time.Duration(r.lastPart.Load())+partInterval:
+				t.Reset(partInterval)
+			default:
+				go attempt(sent)
+				sent++
+			}
+		}
+	}
 }
 
 // minTransferRate is the rate, in bytes per second, at which a node sends at least: well
@@ -239,6 +332,15 @@
 	return time.Duration(bytes) * time.Second / minTransferRate
 }
 
+// linkShare is the share of the link that a call has at least, beside all others.
+const linkShare = 0.25
+
+// sendTime returns how long sending a body of the given size takes over this VM's link, which
+// other calls share. It is far shorter than transferTime on a fast link.
+func (r *Relay) sendTime(bytes int) time.Duration {
+	return time.Duration(float64(bytes) / max(linkShare*r.LinkBytesPerS, minTransferRate) * float64(time.Second))
+}
+
 // callPeer asks a peer to relay a call to the store.
 func (r *Relay) callPeer(ctx context.Context, peer string, c core.StoreCall) (int, []byte, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+peer+relayPath, bytes.NewReader(mustEncode(c)))
