Ignore answers to calls that were sent before an executor was listed anew

Cause: an executor that crashed was removed from the list, and listed again after its restart under the same id. The answer to a renewal of the earlier incarnation arrived after that and was taken for one of a new incarnation, so that all runs of the living one were given up. What protects from such answers was lost with the removal.

Ruled out: the entry itself; a late answer is enough, as the test shows.

TestAnswerToRemovedExecutorIsIgnored failed before.

--- a/core/cell/executors.go
+++ b/core/cell/executors.go
@@ -72,6 +72,8 @@
 		x := k.executors[e.ID]
 		if x == nil {
 			x = &executor{Executor: e, runs: map[runKey]*run{}, knownSince: k.now.Monotonic}
+			// The id may have been removed while calls to an earlier incarnation were under way.
+			x.incarnationSeenAt, x.expectedSince = k.now.Monotonic, k.now.Monotonic
 			k.executors[e.ID] = x
 			k.insertInOrder(x)
 		}
--- a/core/cell/odd_entry_test.go
+++ b/core/cell/odd_entry_test.go
@@ -126,3 +126,26 @@
 		})
 	}
 }
+
+// TestAnswerToRemovedExecutorIsIgnored lets the answer to a renewal arrive after its
+// executor crashed, was removed, and came back under its id: what runs there is not given
+// up (random test, seed 12).
+func TestAnswerToRemovedExecutorIsIgnored(t *testing.T) {
+	w := newWorld(t, 1)
+	w.advance(time.Second)
+	x, sent := w.executors["e0"], w.now
+	w.crash(x)
+	w.listExecutors()
+	w.advance(6 * time.Second)
+	w.restart(x)
+	w.advance(500 * time.Millisecond)
+	j := simpleJob(1, 1, 6000)
+	j.Steps[0].Service = true
+	w.submitJob(j)
+	w.advance(500 * time.Millisecond)
+	require.Equal(t, map[string]int{"e0": 1}, w.countRuns(j.ID))
+	w.step(cell.Renewed{Executor: "e0", Sent: sent, State: fleet.ExecutorState{Outcome: fleet.OrderDone, ClockMs: 1, StartedMs: 1}})
+	w.advance(2 * time.Second)
+	require.Equal(t, map[string]int{"e0": 1}, w.countRuns(j.ID))
+	require.Equal(t, 1, w.starts[j.ID+".0.0.0"])
+}
