Store what belongs to one job in one transaction

A job has two records, and an end replaces both: the job without its work, and the final state. A large write was divided between any two records. After a crash of the owner between the two transactions the store held a job without its work that still runs: the next owner can't read it, and it never ends (LOST). In the same way a removal could be cut in two, which leaves a final state that no owner removes.

Second fault in the same code: a job that is submitted anew while its expired records wait for their removal is stored and removed by one write, and is lost at the next takeover.

Now a write is divided into changes, each the entries of one job or one other record, and a change is never divided; a removal is left out if the same write stores the job.

TestJobIsTornBetweenTransactions and TestRemovalTakesJobSubmittedAnew failed before.

--- a/edge/writer.go
+++ b/edge/writer.go
@@ -20,9 +20,9 @@
 const (
 	// writerLanes is the number of transactions that are under way at a time.
 	writerLanes = 4
-	// maxCommitPuts, the two conditions and the sequence record together are the store's
+	// maxCommitEntries, the two conditions and the sequence record together are the store's
 	// limit of 32 entries per transaction.
-	maxCommitPuts       = 29
+	maxCommitEntries    = 29
 	maxCommitBytes      = 512 << 10
 	commitTimeout       = 800 * time.Millisecond
 	commitRetryInterval = 150 * time.Millisecond
@@ -78,31 +78,61 @@
 	return int(h.Sum32() % writerLanes)
 }
 
-// laneWrite is the part of a write that belongs to one lane.
-type laneWrite struct {
+// change is what has to be stored together: the entries of one job, or one other record.
+type change struct {
 	puts   []core.Put
 	remove []string
 }
 
+func (c *change) entries() int { return len(c.puts) + len(c.remove) }
+
+func (c *change) bytes() int {
+	n := 0
+	for _, p := range c.puts {
+		n += len(p.Value)
+	}
+	return n
+}
+
 // write stores a write, all lanes at the same time.
 func (w *writer) write(ctx context.Context, e cell.Write) error {
-	var parts [writerLanes]laneWrite
+	var lanes [writerLanes][]*change
+	jobs := map[string]*change{}
 	for _, r := range e.Puts {
-		p := &parts[laneOf(r.Kind, r.Name)]
-		p.puts = append(p.puts, encodeRecord(w.codec, r))
+		c := &change{}
+		if r.Kind == cell.JobRecord || r.Kind == cell.ProgressRecord {
+			if jobs[r.Name] != nil {
+				c = jobs[r.Name]
+			}
+			jobs[r.Name] = c
+		}
+		if c.entries() == 0 {
+			i := laneOf(r.Kind, r.Name)
+			lanes[i] = append(lanes[i], c)
+		}
+		c.puts = append(c.puts, encodeRecord(w.codec, r))
 	}
 	for _, id := range e.Remove {
-		p := &parts[laneOf(cell.JobRecord, id)]
-		p.remove = append(p.remove, prefixJob+id, prefixProgress+id)
+		if jobs[id] != nil {
+			// The job was submitted anew; its records are replaced.
+			continue
+		}
+		i := laneOf(cell.JobRecord, id)
+		lanes[i] = append(lanes[i], &change{remove: []string{prefixJob + id, prefixProgress + id}})
 	}
+	return w.writeLanes(ctx, lanes)
+}
+
+// writeLanes stores the changes of all lanes at the same time.
+func (w *writer) writeLanes(ctx context.Context, lanes [writerLanes][]*change) error {
 	results := make(chan error, writerLanes)
-	for i := range parts {
+	for i := range lanes {
 		go func() {
-			results <- guard(w.log, "write to the store", func() error { return w.writeLane(ctx, i, parts[i]) })
+			results <- guard(w.log, "write to the store", func() error { return w.writeLane(ctx, i, lanes[i]) })
 		}()
 	}
 	var failed error
-	for range parts {
+	for range lanes {
 		if err := <-results; err != nil && !errors.Is(failed, errDeposed) {
 			failed = err
 		}
@@ -110,30 +140,35 @@
 	return failed
 }
 
-// writeLane stores the part of one lane, split into several transactions if it is large.
-func (w *writer) writeLane(ctx context.Context, i int, p laneWrite) error {
-	puts, remove := p.puts, p.remove
-	for len(puts) > 0 || len(remove) > 0 {
-		n := countFittingPuts(puts)
-		m := min(len(remove), maxCommitPuts-n)
-		if err := w.commit(ctx, i, puts[:n], remove[:m]); err != nil {
+// writeLane stores the changes of one lane in order, in several transactions if they are
+// large, and each change in one.
+func (w *writer) writeLane(ctx context.Context, i int, changes []*change) error {
+	for len(changes) > 0 {
+		var puts []core.Put
+		var remove []string
+		n := countFitting(changes)
+		for _, c := range changes[:n] {
+			puts, remove = append(puts, c.puts...), append(remove, c.remove...)
+		}
+		if err := w.commit(ctx, i, puts, remove); err != nil {
 			return err
 		}
-		puts, remove = puts[n:], remove[m:]
+		changes = changes[n:]
 	}
 	return nil
 }
 
-// countFittingPuts returns how many of the puts fit into one transaction.
-func countFittingPuts(puts []core.Put) int {
-	size := 0
-	for i, p := range puts {
-		size += len(p.Value)
-		if i == maxCommitPuts || (size > maxCommitBytes && i > 0) {
+// countFitting returns how many of the changes fit into one transaction.
+func countFitting(changes []*change) int {
+	entries, size := 0, 0
+	for i, c := range changes {
+		entries += c.entries()
+		size += c.bytes()
+		if i > 0 && (entries > maxCommitEntries || size > maxCommitBytes) {
 			return i
 		}
 	}
-	return len(puts)
+	return len(changes)
 }
 
 // commit repeats a transaction of a lane until it is known to be done once. A
--- a/edge/writer_test.go
+++ b/edge/writer_test.go
@@ -185,6 +185,61 @@
 	require.Equal(t, 100, records)
 }
 
+// TestJobIsTornBetweenTransactions guards against a crash between two transactions that
+// leaves a job without its work beside the progress of a job that still runs.
+func TestJobIsTornBetweenTransactions(t *testing.T) {
+	s, w := newTestWriter(t)
+	kinds := []cell.RecordKind{cell.JobRecord, cell.ProgressRecord}
+	var e cell.Write
+	for i := range 100 {
+		id := fmt.Sprintf("%016x", i)
+		for _, k := range kinds {
+			e.Puts = append(e.Puts, cell.Record{Kind: k, Name: id, Value: job.Progress{State: job.Succeeded}})
+		}
+		e.Remove = append(e.Remove, fmt.Sprintf("%016x", 100+i))
+	}
+	split := &transactionRecordingStore{fakeStore: s}
+	w.store = split
+	require.NoError(t, w.write(t.Context(), e))
+	for _, transaction := range split.transactions {
+		seen := map[string]int{}
+		for _, p := range transaction.Puts[1:] {
+			seen[p.Key[strings.LastIndex(p.Key, "/")+1:]]++
+		}
+		for _, key := range transaction.Remove {
+			seen[key[strings.LastIndex(key, "/")+1:]]++
+		}
+		for id, n := range seen {
+			require.GreaterOrEqual(t, n, len(kinds), "job %s is stored in parts", id)
+		}
+	}
+}
+
+// TestRemovalTakesJobSubmittedAnew guards against the removal of an expired job in the
+// same write that stores a new submission under its id.
+func TestRemovalTakesJobSubmittedAnew(t *testing.T) {
+	s, w := newTestWriter(t)
+	const id = "000000000000000a"
+	require.NoError(t, w.write(t.Context(), cell.Write{Remove: []string{id}, Puts: []cell.Record{
+		{Kind: cell.JobRecord, Name: id, Value: job.Job{ID: id}}, {Kind: cell.ProgressRecord, Name: id, Value: job.Progress{State: job.Pending}},
+	}}))
+	require.Contains(t, s.items, prefixJob+id)
+	require.Contains(t, s.items, prefixProgress+id)
+}
+
+// transactionRecordingStore records the transactions that it is sent.
+type transactionRecordingStore struct {
+	*fakeStore
+	transactions []core.Transaction
+}
+
+func (l *transactionRecordingStore) Commit(ctx context.Context, t core.Transaction) (int64, []core.Item, error) {
+	l.mu.Lock()
+	l.transactions = append(l.transactions, t)
+	l.mu.Unlock()
+	return l.fakeStore.Commit(ctx, t)
+}
+
 // sizeRecordingStore records the number of entries of the largest transaction.
 type sizeRecordingStore struct {
 	*fakeStore
