Read the open jobs alone at a takeover

After the loss of an owner on nodes with slow links, service tasks lapsed while the next owner read the records of all jobs of the last 2 x status_s, ended ones included, before it served.

Now an index lists the open jobs (jw/open/ID, put with a job, removed with its end, in the same transaction). A new owner reads what it lists, and serves. The ended jobs follow in the background, in small parts with pauses, and are passed to the kernel as an event. Until then a submission, a cancel or a question about a job that the kernel does not know is preceded by a linearizable read of its progress; what has ended is passed to the kernel first. Expiry works for jobs of earlier owners, since they are loaded.

Not chosen: moving ended jobs to a key of their own. An owner of an older build would not see them and would run them again. Here all records stay where they are, and the index counts only if jw/open has the generation of the last claim: a claim of a build with the index carries it on in its own transaction, one of an older build does not, and the next owner reads all records and completes the index. Old and new builds may own the pools in any order.

Records of indexed jobs are read 32 keys a call, by a transaction whose conditions cannot hold.

A deposed kernel no longer says that its lease proves that a job does not exist.

The random plays of core/cell now load ended jobs late and submit jobs again.

--- a/core/cell/event.go
+++ b/core/cell/event.go
@@ -88,6 +88,10 @@
 		Sent     time.Duration
 		State    fleet.ExecutorState
 	}
+	// EndedJobsLoaded adds jobs that ended under earlier owners, so that callers get
+	// answers for them and their records are removed in time. Jobs that the kernel knows
+	// stay as they are.
+	EndedJobsLoaded struct{ Jobs []EndedJob }
 	// Written reports that a Write is stored.
 	Written struct{ Write int64 }
 	// VMOrdered is the answer to an order for a VM.
@@ -119,10 +123,20 @@
 func (Started) event()              {}
 func (Stopped) event()              {}
 func (Renewed) event()              {}
+func (EndedJobsLoaded) event()      {}
 func (Written) event()              {}
 func (VMOrdered) event()            {}
 func (AdviceReceived) event()       {}
 
+// EndedJob is a job that ended under an earlier owner.
+type EndedJob struct {
+	ID string
+	// State is the final state, empty if it cannot be read.
+	State job.State
+	// EndedMs is the Unix time of the end in milliseconds.
+	EndedMs int64
+}
+
 // The effects that Kernel.Step returns.
 type (
 	// Start sends a start order.
--- a/core/cell/kernel.go
+++ b/core/cell/kernel.go
@@ -200,6 +200,8 @@
 		k.handleStopAnswer(e)
 	case Renewed:
 		k.handleRenewal(e)
+	case EndedJobsLoaded:
+		k.addEndedJobs(e.Jobs)
 	case Written:
 		k.handleWritten(e.Write)
 	case VMOrdered:
--- a/core/cell/random_test.go
+++ b/core/cell/random_test.go
@@ -55,7 +55,7 @@
 
 // doRandomAction draws and performs one action.
 func (r *randomWorld) doRandomAction() {
-	switch rapid.IntRange(0, 18).Draw(r.T, "act") {
+	switch rapid.IntRange(0, 19).Draw(r.T, "act") {
 	case 0, 1, 2, 3:
 		r.submitRandom()
 	case 4:
@@ -89,6 +89,8 @@
 		r.advance(time.Duration(rapid.IntRange(1, 6).Draw(r.T, "s")) * time.Second)
 	case 18:
 		r.loseCarrier()
+	case 19:
+		r.resubmitRandom()
 	}
 }
 
@@ -160,6 +162,26 @@
 	r.submitJob(j)
 }
 
+// resubmitRandom submits a job again; it must not run again if it has ended.
+func (r *randomWorld) resubmitRandom() {
+	if r.jobs == 0 {
+		return
+	}
+	j := simpleJob(rapid.IntRange(1, r.jobs).Draw(r.T, "job"), 1, 1)
+	if spec := r.specs[j.ID]; spec != nil {
+		again := *spec
+		r.submitJob(&again)
+		if ended := r.stored[j.ID].State; ended.IsFinal() && r.alive[r.kernel] && !r.storeDown {
+			require.Equal(r.T, ended, r.jobState(j.ID), "job %s", j.ID)
+		}
+	}
+}
+
+// drawEndedDelay draws when the next owner will have loaded the ended jobs.
+func (r *randomWorld) drawEndedDelay() {
+	r.endedDelay = time.Duration(rapid.SampledFrom([]int{0, 30, 900, 6000}).Draw(r.T, "ended ms")) * time.Millisecond
+}
+
 func (r *randomWorld) cancelRandom() {
 	if r.jobs > 0 {
 		id := simpleJob(rapid.IntRange(1, r.jobs).Draw(r.T, "job"), 1, 1).ID
@@ -173,6 +195,7 @@
 	r.storeDown = false
 	clear(r.alive)
 	r.advanceWithoutOwner(testLease)
+	r.drawEndedDelay()
 	r.replaceOwner()
 }
 
@@ -189,6 +212,7 @@
 	}
 	r.storeDown, r.unproved = false, false
 	before := r.kernel
+	r.drawEndedDelay()
 	r.addOwner()
 	r.splitExecutors(before)
 }
--- a/core/cell/recover.go
+++ b/core/cell/recover.go
@@ -58,9 +58,8 @@
 	k.beginJob(j)
 }
 
-// LoadUnreadableJob restores a job whose record cannot be read; it must be called before
-// the first event. The job is known and can be cancelled, but it does not run: what has
-// run of it is not known.
+// LoadUnreadableJob restores a job whose record cannot be read. The job is known and can
+// be cancelled, but it does not run: what has run of it is not known.
 func (k *Kernel) LoadUnreadableJob(id string) {
 	k.jobs[id] = &jobState{
 		Job: &job.Job{ID: id, AcceptedMs: k.now.UnixMs}, state: job.Running, visibleState: job.Running, stored: true, started: true,
@@ -68,6 +67,22 @@
 	}
 }
 
+// addEndedJobs adds jobs that ended under earlier owners.
+func (k *Kernel) addEndedJobs(jobs []EndedJob) {
+	for _, e := range jobs {
+		switch {
+		case k.jobs[e.ID] != nil:
+		case e.State.IsFinal():
+			k.jobs[e.ID] = &jobState{
+				Job: &job.Job{ID: e.ID}, state: e.State, visibleState: e.State, stored: true, started: true,
+				endedMs: e.EndedMs, arrivedAt: k.now.Monotonic,
+			}
+		case e.State == "":
+			k.LoadUnreadableJob(e.ID)
+		}
+	}
+}
+
 // finishRecovery ends the recovery once no order of an earlier owner can be in
 // effect unnoticed: either every executor has answered under our token, or all
 // inherited deadlines have passed.
--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -394,5 +394,6 @@
 func (k *Kernel) QueueDepth(queue string) int { return max(k.queueDepth[queue], 0) }
 
 // IsLeaseProved reports whether the lease proves the ownership at the given time.
-// While it does, a job that the kernel does not know does not exist.
-func (k *Kernel) IsLeaseProved(now time.Duration) bool { return now < k.leaseUntil }
+// While it does, a job that the kernel does not know does not exist, unless it ended
+// under an earlier owner and is not loaded yet.
+func (k *Kernel) IsLeaseProved(now time.Duration) bool { return !k.deposed && now < k.leaseUntil }
--- a/core/cell/takeover_test.go
+++ b/core/cell/takeover_test.go
@@ -53,6 +53,20 @@
 	require.Empty(t, stale.Step(w.clock(), cell.Tick{}), "the stale owner still acts")
 }
 
+// TestDeposedOwnerDeniesJobs guards against an owner that says of a job that it does not
+// exist after a later owner may have accepted it, or while it takes up no more ended jobs.
+func TestDeposedOwnerDeniesJobs(t *testing.T) {
+	w := newWorld(t, 2)
+	w.advance(time.Second)
+	stale := w.kernel
+	stale.Step(w.clock(), cell.LeaseExtended{Until: w.now + time.Minute})
+	require.True(t, stale.IsLeaseProved(w.now))
+	w.addOwner()
+	w.advance(2 * time.Second)
+	require.False(t, w.alive[stale], "the stale owner was not deposed")
+	require.False(t, stale.IsLeaseProved(w.now))
+}
+
 // TestNextOwnerWaitsForVMOrderLease replaces the owner right after it sent orders
 // for VMs. The next owner may send orders for other VMs at once, but for these only
 // after the lease of the order (checked by world).
@@ -248,3 +262,59 @@
 	w.advance(time.Second)
 	require.Equal(t, 2, w.starts[j.ID+".0.0.0"])
 }
+
+// TestEndedJobRunsAgainBeforeItIsLoaded guards against a new owner that has not loaded the
+// ended jobs, and starts one anew that is submitted again, or does not know it.
+func TestEndedJobRunsAgainBeforeItIsLoaded(t *testing.T) {
+	w := newWorld(t, 2)
+	w.advance(time.Second)
+	j := simpleJob(1, 2, 1000)
+	w.submitJob(j)
+	w.advance(2 * time.Second)
+	require.Equal(t, job.Succeeded, w.jobState(j.ID))
+	w.endedDelay = time.Hour
+	w.replaceOwner()
+	require.Empty(t, w.jobState(j.ID), "the next owner has not loaded it")
+	again, cancel := w.submitJob(simpleJob(1, 2, 1000)), w.cancelJob(j.ID)
+	w.advance(2 * time.Second)
+	require.Equal(t, cell.Accepted, w.verdicts[again].Verdict)
+	require.Equal(t, cell.JobEnded, w.verdicts[cancel].Verdict)
+	require.Equal(t, job.Succeeded, w.jobState(j.ID), "its end stands")
+	require.Equal(t, 1, w.starts[j.ID+".0.0.0"])
+}
+
+// TestEndedJobsOfEarlierOwnersAreNeverRemoved guards against records of ended jobs that
+// stay in the store because the owner under which they expire has not run the jobs.
+func TestEndedJobsOfEarlierOwnersAreNeverRemoved(t *testing.T) {
+	w := newWorld(t, 2)
+	w.advance(time.Second)
+	j := simpleJob(1, 1, 1000)
+	w.submitJob(j)
+	w.advance(2 * time.Second)
+	w.endedDelay = 10 * time.Second
+	w.replaceOwner()
+	w.advance(100 * time.Second)
+	require.Equal(t, job.Succeeded, w.jobState(j.ID))
+	require.Empty(t, w.removed)
+	w.advance(30 * time.Second)
+	require.Equal(t, []string{j.ID}, w.removed, "two minutes after the end")
+	require.Empty(t, w.jobState(j.ID))
+}
+
+// TestLoadedEndChangesKnownJob guards against a read of the store that overtakes what the
+// owner has decided since: a job that it knows stays as it is.
+func TestLoadedEndChangesKnownJob(t *testing.T) {
+	w := newWorld(t, 2)
+	w.advance(time.Second)
+	j := simpleJob(1, 1, 1000)
+	j.Steps[0].Service = true
+	w.submitJob(j)
+	w.advance(time.Second)
+	w.step(cell.EndedJobsLoaded{Jobs: []cell.EndedJob{
+		{ID: j.ID, State: job.Failed}, {ID: "00000000000000aa", State: job.Running}, {ID: "00000000000000ab"},
+	}})
+	w.advance(time.Second)
+	require.Equal(t, job.Running, w.jobState(j.ID))
+	require.Empty(t, w.jobState("00000000000000aa"), "an open job is loaded before the owner serves")
+	require.Equal(t, job.Running, w.jobState("00000000000000ab"), "what cannot be read is known and does not run")
+}
--- a/core/cell/world_test.go
+++ b/core/cell/world_test.go
@@ -54,6 +54,12 @@
 	// storeDown is true while writes are held back.
 	storeDown  bool
 	heldWrites []cell.Write
+	// endedDelay is how long after its claim an owner has loaded the ended jobs; if it is
+	// zero it loads them with the others. endedUnloaded is true until then.
+	endedDelay    time.Duration
+	endedUnloaded bool
+	// removed lists the jobs whose records were removed.
+	removed []string
 	// taskTime returns how long a run of a task takes and how it ends.
 	taskTime func(task string, run int) (time.Duration, fleet.RunEnd)
 	// orderDelivery returns the delay until an order arrives, and whether its answer
@@ -225,10 +231,23 @@
 	w.alive[w.kernel] = true
 	w.allOwners = append(w.allOwners, w.kernel)
 	w.kernel.Step(w.clock(), cell.Configured{Configuration: w.config})
+	w.endedUnloaded = w.endedDelay > 0
 	for _, id := range slices.Sorted(maps.Keys(w.records)) {
+		if w.endedUnloaded && w.stored[id].State.IsFinal() {
+			continue
+		}
 		spec := *w.records[id]
 		w.kernel.LoadJob(&spec, w.stored[id])
 	}
+	if w.endedUnloaded {
+		k := w.kernel
+		w.runAfter(w.endedDelay, func() {
+			if k == w.kernel {
+				w.endedUnloaded = false
+			}
+			w.answerOwner(k, cell.EndedJobsLoaded{Jobs: w.endedJobs()})
+		})
+	}
 	w.kernel.LoadVMOrders(w.orderRecord)
 	if len(w.waveRecord.Done) > 0 {
 		w.kernel.LoadWave(1, w.waveRecord)
@@ -237,6 +256,25 @@
 	w.step(cell.VMsListed{VMs: w.vms, RequestedAt: w.now})
 }
 
+// endedJobs returns all ended jobs in the store.
+func (w *world) endedJobs() []cell.EndedJob {
+	var jobs []cell.EndedJob
+	for _, id := range slices.Sorted(maps.Keys(w.stored)) {
+		if p := w.stored[id]; p.State.IsFinal() {
+			jobs = append(jobs, cell.EndedJob{ID: id, State: p.State, EndedMs: p.EndedMs})
+		}
+	}
+	return jobs
+}
+
+// lookUpEnded passes an ended job to the owner before a request that is about it, as the
+// host does while the ended jobs are not loaded.
+func (w *world) lookUpEnded(id string) {
+	if p := w.stored[id]; w.endedUnloaded && p.State.IsFinal() {
+		w.step(cell.EndedJobsLoaded{Jobs: []cell.EndedJob{{ID: id, State: p.State, EndedMs: p.EndedMs}}})
+	}
+}
+
 // restoreStore carries out the writes that were held back.
 func (w *world) restoreStore() {
 	w.storeDown = false
@@ -520,6 +558,7 @@
 		w.heldWrites = append(w.heldWrites, e)
 		return
 	}
+	w.removed = append(w.removed, e.Remove...)
 	for _, r := range e.Puts {
 		data, err := json.Marshal(r.Value)
 		require.NoError(w.t, err)
@@ -547,6 +586,7 @@
 // submitJob submits a job and returns the id of the call.
 func (w *world) submitJob(j *job.Job) cell.CallID {
 	w.lastCall++
+	w.lookUpEnded(j.ID)
 	if j.Queue == "" {
 		j.Queue = "proofs"
 	}
@@ -556,6 +596,7 @@
 
 func (w *world) cancelJob(id string) cell.CallID {
 	w.lastCall++
+	w.lookUpEnded(id)
 	w.step(cell.CancelRequested{Call: w.lastCall, Job: id})
 	return w.lastCall
 }
--- a/core/event/platform.go
+++ b/core/event/platform.go
@@ -69,6 +69,7 @@
 	CarrierLost           Number = 745
 	OrderTooOld           Number = 746
 	RecordSkipped         Number = 747
+	EndedJobsLoaded       Number = 748
 )
 
 func init() {
@@ -139,6 +140,7 @@
 		CarrierLost:           "a node carries no more orders; the outcome of those that it had is unknown",
 		OrderTooOld:           "an order was not sent to its executor since it had become too old on its way",
 		RecordSkipped:         "a stored record cannot be read and is skipped",
+		EndedJobsLoaded:       "the owner knows all jobs that ended under earlier owners",
 	} {
 		Catalogue[n] = text
 	}
--- a/core/metadata.go
+++ b/core/metadata.go
@@ -73,11 +73,16 @@
 	OnProgress func() `json:"-"`
 }
 
+// MaxGetMany is the largest number of keys that are read by one call.
+const MaxGetMany = 32
+
 // MetadataStore is the platform's key-value store for configurations and records.
 // Package edge uses it; package node uses Store.
 type MetadataStore interface {
 	// Get returns the item of a key; a key that does not exist has revision zero.
 	Get(ctx context.Context, key string) (Item, error)
+	// GetMany returns those items of at most MaxGetMany keys that exist.
+	GetMany(ctx context.Context, keys []string) ([]Item, error)
 	// Range returns a page of the items under prefix whose keys sort after the
 	// key in after.
 	Range(ctx context.Context, prefix, after string) (Page, error)
--- a/edge/host.go
+++ b/edge/host.go
@@ -52,6 +52,10 @@
 	onOverload func()
 	// links holds the nodes that carry orders; nil means that there are none.
 	links *linkSet
+	// loaded describes the index of the open jobs, and ended which ended jobs the kernel
+	// knows; ended is nil if it knows all.
+	loaded loadedJobs
+	ended  *endedJobs
 
 	ctx        context.Context
 	cancel     context.CancelFunc
@@ -111,6 +115,9 @@
 	h.goroutines.Go(func() { h.runOrHandOver("write to the store", h.runWriter) })
 	h.goroutines.Go(func() { h.runOrHandOver("watch the executors", h.watchExecutors) })
 	h.goroutines.Go(h.runIdleTicks)
+	if h.ended != nil {
+		h.goroutines.Go(func() { h.runOrHandOver("load the ended jobs", h.loadEndedJobs) })
+	}
 	if h.links != nil {
 		h.links.attach(h.send)
 	}
@@ -237,6 +244,9 @@
 		h.readCarrier(m)
 	case cell.Written:
 		h.step(m)
+	case cell.EndedJobsLoaded:
+		// Also during a handover: who asks about a job relies on it.
+		h.step(m)
 	case cell.Event:
 		switch e := m.(type) {
 		case cell.ExecutorsListed:
@@ -360,8 +370,27 @@
 	return "done"
 }
 
+// repairIndex makes the index of the open jobs complete, and removes from it what has
+// ended.
+func (h *host) repairIndex() error {
+	if h.loaded.indexed {
+		return h.writer.updateIndex(h.ctx, nil, h.loaded.stale)
+	}
+	if err := h.writer.updateIndex(h.ctx, h.loaded.open, nil); err != nil {
+		return err
+	}
+	return h.writer.completeIndex(h.ctx)
+}
+
 // runWriter carries out the kernel's writes one at a time.
 func (h *host) runWriter() {
+	// The index is complete before the first write that removes from it.
+	if err := h.repairIndex(); err != nil {
+		if errors.Is(err, errDeposed) {
+			go h.onDeposed(err.Error())
+		}
+		return
+	}
 	for {
 		select {
 		case <-h.ctx.Done():
--- a/edge/host_test.go
+++ b/edge/host_test.go
@@ -13,6 +13,7 @@
 	"jacinthwind/core/carrier"
 	"jacinthwind/core/cell"
 	"jacinthwind/core/fleet"
+	"jacinthwind/core/job"
 )
 
 // messageContext is an actor's context that only holds a message.
@@ -187,3 +188,15 @@
 	h.runOrHandOver("write to the store", func() { panic("a record that cannot be encoded") })
 	require.Contains(t, <-deposed, "a record that cannot be encoded")
 }
+
+// TestEndedJobIsDroppedDuringHandover guards against an ended job that was read and that
+// the kernel does not take since the owner hands over: its caller would be told that there
+// is no such job.
+func TestEndedJobIsDroppedDuringHandover(t *testing.T) {
+	h, _ := newTestHost(t)
+	h.receiveMessage(beginHandover{})
+	h.receiveMessage(cell.EndedJobsLoaded{Jobs: []cell.EndedJob{{ID: "000000000000000a", State: job.Failed}}})
+	state, known := h.kernel.JobState("000000000000000a")
+	require.True(t, known)
+	require.Equal(t, job.Failed, state)
+}
--- a/edge/load_records.go
+++ b/edge/load_records.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -95,13 +96,24 @@
 	return nil
 }
 
-// loadKernel reads all stored records, several kinds at a time, and loads them into a
-// kernel.
-func loadKernel(ctx context.Context, store core.MetadataStore, k *cell.Kernel, log *eventlog.Log) error {
+// recordReaders is the number of reads of single records that are under way at a time.
+const recordReaders = 4
+
+// loadedJobs describes the index of the open jobs as it was found.
+type loadedJobs struct {
+	// indexed is true if only the jobs of the index were read.
+	indexed bool
+	// open holds the jobs that have not ended, and stale those that the index lists
+	// although they have.
+	open, stale []string
+}
+
+// loadKernel reads the stored records, several kinds at a time, and loads them into a
+// kernel: of the jobs only those that the index lists, or all if it is not complete.
+func loadKernel(ctx context.Context, store core.MetadataStore, k *cell.Kernel, indexed bool, log *eventlog.Log) (loadedJobs, error) {
 	var r storedRecords
+	var index map[string]core.Item
 	reads := []func() error{
-		func() (err error) { r.jobs, _, err = readPrefix(ctx, store, prefixJob); return err },
-		func() (err error) { r.progress, _, err = readPrefix(ctx, store, prefixProgress); return err },
 		func() (err error) { r.waves, _, err = readPrefix(ctx, store, prefixWave); return err },
 		func() (err error) {
 			if r.orders, err = store.Get(ctx, keyOrders); errors.Is(err, core.ErrNotFound) {
@@ -110,6 +122,18 @@
 			return err
 		},
 	}
+	if indexed {
+		reads = append(reads, func() (err error) {
+			if index, _, err = readPrefix(ctx, store, prefixOpen); err == nil {
+				r.jobs, r.progress, err = readIndexed(ctx, store, index)
+			}
+			return err
+		})
+	} else {
+		reads = append(reads,
+			func() (err error) { r.jobs, _, err = readPrefix(ctx, store, prefixJob); return err },
+			func() (err error) { r.progress, _, err = readPrefix(ctx, store, prefixProgress); return err })
+	}
 	results := make(chan error, len(reads))
 	for _, read := range reads {
 		go func() { results <- read() }()
@@ -121,8 +145,124 @@
 		}
 	}
 	if failed != nil {
-		return failed
+		return loadedJobs{}, failed
 	}
 	loadRecords(k, r, log)
-	return nil
+	return compareIndex(k, r, index, indexed), nil
+}
+
+// compareIndex compares the loaded jobs with the index.
+func compareIndex(k *cell.Kernel, r storedRecords, index map[string]core.Item, indexed bool) loadedJobs {
+	loaded := loadedJobs{indexed: indexed}
+	for key := range r.jobs {
+		id := strings.TrimPrefix(key, prefixJob)
+		if state, _ := k.JobState(id); !state.IsFinal() {
+			loaded.open = append(loaded.open, id)
+		}
+	}
+	for key := range index {
+		id := strings.TrimPrefix(key, prefixOpen)
+		if state, known := k.JobState(id); !known || state.IsFinal() {
+			loaded.stale = append(loaded.stale, id)
+		}
+	}
+	return loaded
+}
+
+// readIndexed reads the records of the jobs that the index lists.
+func readIndexed(ctx context.Context, store core.MetadataStore, index map[string]core.Item) (jobs, progress map[string]core.Item, err error) {
+	var keys []string
+	for key := range index {
+		id := strings.TrimPrefix(key, prefixOpen)
+		keys = append(keys, prefixJob+id, prefixProgress+id)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	type result struct {
+		items []core.Item
+		err   error
+	}
+	slots, results, calls := make(chan struct{}, recordReaders), make(chan result), 0
+	for part := range slices.Chunk(keys, core.MaxGetMany) {
+		calls++
+		go func() {
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			items, err := readKeys(ctx, store, part)
+			select {
+			case results <- result{items, err}:
+			case <-ctx.Done():
+			}
+		}()
+	}
+	jobs, progress = map[string]core.Item{}, map[string]core.Item{}
+	for range calls {
+		select {
+		case found := <-results:
+			if found.err != nil {
+				return nil, nil, found.err
+			}
+			for _, item := range found.items {
+				if strings.HasPrefix(item.Key, prefixJob) {
+					jobs[item.Key] = item
+				} else {
+					progress[item.Key] = item
+				}
+			}
+		case <-ctx.Done():
+			return nil, nil, ctx.Err()
+		}
+	}
+	return jobs, progress, nil
+}
+
+// readKeys reads the items of some keys. A read that fails is repeated, up to
+// maxPageAttempts times. Keys without an item are read once more, each by itself: a job is
+// forgotten if its record is.
+func readKeys(ctx context.Context, store core.MetadataStore, keys []string) ([]core.Item, error) {
+	items, err := store.GetMany(ctx, keys)
+	for attempt := 1; err != nil && attempt < maxPageAttempts && ctx.Err() == nil; attempt++ {
+		sleep(ctx, watchRetryDelay)
+		items, err = store.GetMany(ctx, keys)
+	}
+	if err != nil {
+		return nil, err
+	}
+	found := map[string]bool{}
+	for _, item := range items {
+		found[item.Key] = true
+	}
+	for _, key := range keys {
+		if found[key] {
+			continue
+		}
+		item, err := readRecord(ctx, store, key)
+		if err != nil {
+			return nil, err
+		}
+		if item.Key != "" {
+			items = append(items, item)
+		}
+	}
+	return items, nil
+}
+
+// readRecord reads a record; the key of the item is empty if there is none. A record may
+// be large, so it is read like a page.
+func readRecord(ctx context.Context, store core.MetadataStore, key string) (core.Item, error) {
+	items, _, err := readPrefix(ctx, store, key)
+	return items[key], err
+}
+
+// endedJob decodes the progress of a job that is not open. A record that cannot be read
+// is logged, and gives a job without a state.
+func endedJob(item core.Item, log *eventlog.Log) cell.EndedJob {
+	e := cell.EndedJob{ID: strings.TrimPrefix(item.Key, prefixProgress)}
+	var p job.Progress
+	if err := json.Unmarshal(item.Value, &p); err != nil {
+		log.Event(event.RecordSkipped, zap.String("key", item.Key), zap.Error(err))
+		return e
+	}
+	e.State, e.EndedMs = p.State, p.EndedMs
+	return e
 }
--- a/edge/owner.go
+++ b/edge/owner.go
@@ -245,8 +245,9 @@
 	renewedUntil := make(chan time.Duration, 1)
 	go func() { renewedUntil <- o.renewWhileLoading(loading, cancel, claim) }()
 	w, err := newWriter(loading, o.store, o.codec, o.log, claim.token, claim.sequence.Generation)
+	var loaded loadedJobs
 	if err == nil {
-		err = loadKernel(loading, o.store, k, o.log)
+		loaded, err = loadKernel(loading, o.store, k, claim.indexed, o.log)
 	}
 	cancel(nil)
 	until := <-renewedUntil
@@ -264,7 +265,10 @@
 		codec: o.codec, store: o.store, log: o.log, metrics: o.metrics,
 		writer:    w,
 		onDeposed: o.endOwnership, onOverload: func() { o.yield("this VM is too slow for the pools") },
-		links: o.links,
+		links: o.links, loaded: loaded,
+	}
+	if loaded.indexed {
+		h.ended = &endedJobs{}
 	}
 	h.carriers.assigner.OwnerCores = o.cores
 	// The first call of the kernel may already detect a later owner.
@@ -277,7 +281,7 @@
 	o.host = h
 	o.mu.Unlock()
 	sendOperatorState(h, o.operatorState())
-	o.log.Event(event.OwnershipBegun, zap.Int64("token", claim.token), zap.Int64("generation", claim.sequence.Generation), zap.Int64("took_ms", (monotonicNow()-began).Milliseconds()))
+	o.log.Event(event.OwnershipBegun, zap.Int64("token", claim.token), zap.Int64("generation", claim.sequence.Generation), zap.Int64("took_ms", (monotonicNow()-began).Milliseconds()), zap.Int("open_jobs", len(loaded.open)), zap.Bool("indexed", loaded.indexed))
 	reason := o.renewUntilLost(ctx, h, claim, endReasons)
 	o.mu.Lock()
 	o.host = nil
@@ -330,6 +334,8 @@
 	token    int64
 	sequence sequenceRecord
 	until    time.Duration
+	// indexed is true if the index lists all open jobs.
+	indexed bool
 }
 
 // claim writes this node into the owner's record if the record still has the
@@ -346,12 +352,21 @@
 	if err != nil {
 		return grantedClaim{}, err
 	}
+	index, err := o.readOpenIndex(ctx)
+	if err != nil {
+		return grantedClaim{}, err
+	}
+	indexed := index == openIndexRecord{sequence.Generation}
 	next := sequenceRecord{Generation: sequence.Generation + 1}
 	record := o.self
 	record.Generation = next.Generation
+	puts := []core.Put{{Key: keyOwner, Value: mustEncode(record), Lease: lease}, {Key: keySequence, Value: mustEncode(next)}}
+	if indexed {
+		puts = append(puts, core.Put{Key: keyOpenIndex, Value: mustEncode(openIndexRecord{next.Generation})})
+	}
 	token, items, err := o.store.Commit(ctx, core.Transaction{
 		Expect: []core.Condition{{Key: keyOwner, Revision: expected}, {Key: keySequence, Revision: revision}},
-		Puts:   []core.Put{{Key: keyOwner, Value: mustEncode(record), Lease: lease}, {Key: keySequence, Value: mustEncode(next)}},
+		Puts:   puts,
 	})
 	if errors.Is(err, core.ErrConflict) {
 		token, err = findEarlierClaim(items, record)
@@ -362,7 +377,7 @@
 		_ = o.store.RevokeLease(ctx, lease)
 		return grantedClaim{}, err
 	}
-	return grantedClaim{lease: lease, token: token, sequence: next, until: sent + ownerLeaseTTL - leaseMargin}, nil
+	return grantedClaim{lease: lease, token: token, sequence: next, until: sent + ownerLeaseTTL - leaseMargin, indexed: indexed}, nil
 }
 
 // findEarlierClaim searches the items of a refused claim for the same record,
@@ -394,6 +409,24 @@
 	return s, item.Revision, nil
 }
 
+// readOpenIndex returns the record of the index of the open jobs. A record that cannot be
+// read counts as one of no generation.
+func (o *ownership) readOpenIndex(ctx context.Context) (openIndexRecord, error) {
+	item, err := o.store.Get(ctx, keyOpenIndex)
+	if errors.Is(err, core.ErrNotFound) {
+		return openIndexRecord{}, nil
+	}
+	var r openIndexRecord
+	if err != nil {
+		return r, err
+	}
+	if err := json.Unmarshal(item.Value, &r); err != nil {
+		o.log.Event(event.RecordSkipped, zap.String("key", keyOpenIndex), zap.Error(err))
+		return openIndexRecord{Generation: -1}, nil
+	}
+	return r, nil
+}
+
 // renewWhileLoading renews the lease until ctx ends, and returns until when the
 // lease is known to last. It cancels ctx once the lease is lost.
 func (o *ownership) renewWhileLoading(ctx context.Context, cancel context.CancelCauseFunc, c grantedClaim) time.Duration {
--- a/edge/owner_call.go
+++ b/edge/owner_call.go
@@ -69,17 +69,26 @@
 			a.Verdict, a.Reason = verdictFaulty, err.Error()
 			return a, nil
 		}
+		if err := h.ensureKnown(ctx, call.Job.ID); err != nil {
+			return a, err
+		}
 		var left time.Duration
 		if deadline, ok := ctx.Deadline(); ok {
 			left = max(time.Until(deadline), time.Nanosecond)
 		}
 		a.Answer, err = h.submit(ctx, func(c cell.CallID) cell.Event { return cell.Submitted{Call: c, Job: call.Job, TimeLeft: left} })
 	case callCancel:
+		if err := h.ensureKnown(ctx, call.Name); err != nil {
+			return a, err
+		}
 		a.Answer, err = h.submit(ctx, func(c cell.CallID) cell.Event { return cell.CancelRequested{Call: c, Job: call.Name} })
 		if err == nil && a.Verdict == cell.NotFound {
 			err = h.inspect(ctx, func(k *cell.Kernel) { a.LeaseProved = k.IsLeaseProved(monotonicNow()) })
 		}
 	case callState:
+		if err := h.ensureKnown(ctx, call.Name); err != nil {
+			return a, err
+		}
 		err = h.inspect(ctx, func(k *cell.Kernel) {
 			a.State, _ = k.JobState(call.Name)
 			a.LeaseProved = k.IsLeaseProved(monotonicNow())
--- a/edge/records.go
+++ b/edge/records.go
@@ -18,7 +18,10 @@
 	prefixJob      = "jw/job/"
 	prefixProgress = "jw/progress/"
 	prefixWave     = "jw/wave/"
-	keyOrders      = "jw/orders"
+	// prefixOpen lists the jobs that have not ended, by their ids, and may list others.
+	prefixOpen   = "jw/open/"
+	keyOpenIndex = "jw/open"
+	keyOrders    = "jw/orders"
 )
 
 // ownerRecord identifies the owner of the pools; the revision of its item is the
@@ -39,6 +42,16 @@
 	Number int64 `json:"number"`
 }
 
+// openIndexRecord tells, under keyOpenIndex, whether the jobs under prefixOpen are complete:
+// they are if its generation is that of the last claim. An owner of a build that does not
+// list them claims with a generation of its own, and so makes them incomplete.
+type openIndexRecord struct {
+	Generation int64 `json:"generation"`
+}
+
+// openMarker is the value of a job under prefixOpen.
+var openMarker = []byte("{}")
+
 // mustEncode returns v as JSON. It panics if v cannot be encoded, which the records
 // of this package always can.
 func mustEncode(v any) []byte {
--- a/edge/writer.go
+++ b/edge/writer.go
@@ -14,6 +14,7 @@
 	"jacinthwind/core"
 	"jacinthwind/core/cell"
 	"jacinthwind/core/event"
+	"jacinthwind/core/job"
 )
 
 // Writer limits.
@@ -98,7 +99,13 @@
 func (w *writer) write(ctx context.Context, e cell.Write) error {
 	var lanes [writerLanes][]*change
 	jobs := map[string]*change{}
+	opened, ended := map[string]bool{}, map[string]bool{}
 	for _, r := range e.Puts {
+		if p, ok := r.Value.(job.Progress); ok && p.State.IsFinal() {
+			ended[r.Name] = true
+		} else if r.Kind == cell.JobRecord {
+			opened[r.Name] = true
+		}
 		c := &change{}
 		if r.Kind == cell.JobRecord || r.Kind == cell.ProgressRecord {
 			if jobs[r.Name] != nil {
@@ -112,6 +119,13 @@
 		}
 		c.puts = append(c.puts, encodeRecord(w.codec, r))
 	}
+	for id, c := range jobs {
+		if ended[id] {
+			c.remove = append(c.remove, prefixOpen+id)
+		} else if opened[id] {
+			c.puts = append(c.puts, core.Put{Key: prefixOpen + id, Value: openMarker})
+		}
+	}
 	for _, id := range e.Remove {
 		if jobs[id] != nil {
 			// The job was submitted anew; its records are replaced.
@@ -123,6 +137,26 @@
 	return w.writeLanes(ctx, lanes)
 }
 
+// updateIndex adds jobs to the index of the open ones, or removes jobs from it.
+func (w *writer) updateIndex(ctx context.Context, add, remove []string) error {
+	var lanes [writerLanes][]*change
+	for _, id := range add {
+		i := laneOf(cell.JobRecord, id)
+		lanes[i] = append(lanes[i], &change{puts: []core.Put{{Key: prefixOpen + id, Value: openMarker}}})
+	}
+	for _, id := range remove {
+		i := laneOf(cell.JobRecord, id)
+		lanes[i] = append(lanes[i], &change{remove: []string{prefixOpen + id}})
+	}
+	return w.writeLanes(ctx, lanes)
+}
+
+// completeIndex records that the index lists all open jobs.
+func (w *writer) completeIndex(ctx context.Context) error {
+	record := openIndexRecord{Generation: w.lanes[0].sequence.Generation}
+	return w.commit(ctx, 0, []core.Put{{Key: keyOpenIndex, Value: mustEncode(record)}}, nil)
+}
+
 // writeLanes stores the changes of all lanes at the same time.
 func (w *writer) writeLanes(ctx context.Context, lanes [writerLanes][]*change) error {
 	results := make(chan error, writerLanes)
--- a/edge/writer_test.go
+++ b/edge/writer_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -211,10 +213,90 @@
 		}
 		for id, n := range seen {
 			require.GreaterOrEqual(t, n, len(kinds), "job %s is stored in parts", id)
+			if slices.ContainsFunc(transaction.Puts, func(p core.Put) bool { return p.Key == prefixJob+id }) {
+				require.Contains(t, transaction.Remove, prefixOpen+id, "an end leaves the index")
+			}
 		}
 	}
 }
 
+// TestIndexMissesOpenJob guards against a crash, or a lost answer, after which the index of
+// the open jobs lacks a job that is stored and has not ended.
+func TestIndexMissesOpenJob(t *testing.T) {
+	const id = "000000000000000a"
+	begin := cell.Write{Puts: []cell.Record{
+		{Kind: cell.JobRecord, Name: id, Value: &job.Job{ID: id}}, {Kind: cell.ProgressRecord, Name: id, Value: job.Progress{State: job.Pending}},
+	}}
+	progress := cell.Write{Puts: []cell.Record{{Kind: cell.ProgressRecord, Name: id, Value: job.Progress{State: job.Running}}}}
+	end := cell.Write{Puts: []cell.Record{
+		{Kind: cell.JobRecord, Name: id, Value: &job.Job{ID: id}}, {Kind: cell.ProgressRecord, Name: id, Value: job.Progress{State: job.Succeeded}},
+	}}
+	for name, last := range map[string]commitOutcome{
+		"answered": answered, "applied, no answer": appliedUnanswered, "lost": lostUnanswered, "refused": refused, "delayed": delayedUnanswered,
+	} {
+		t.Run(name, func(t *testing.T) {
+			for writes := 1; writes <= 3; writes++ {
+				outcomes := make([]commitOutcome, writes)
+				outcomes[writes-1] = last
+				s, w := newTestWriter(t, outcomes...)
+				for i, e := range []cell.Write{begin, progress, end}[:writes] {
+					ctx, crash := context.WithCancel(t.Context())
+					if i == writes-1 {
+						w.store = &crashingStore{s, crash}
+					}
+					_ = w.write(ctx, e)
+					crash()
+				}
+				requireIndexed(t, s, id)
+				// The transaction may be carried out after the crash, until the next claim.
+				if s.delayed != nil {
+					_, _, _ = s.apply(*s.delayed)
+					requireIndexed(t, s, id)
+				}
+			}
+		})
+	}
+}
+
+// requireIndexed checks that the index lists a job just while it is stored and has not
+// ended.
+func requireIndexed(t *testing.T, s *fakeStore, id string) {
+	var p job.Progress
+	stored, ok := s.items[prefixProgress+id]
+	if ok {
+		require.NoError(t, json.Unmarshal(stored.Value, &p))
+	}
+	_, indexed := s.items[prefixOpen+id]
+	require.Equal(t, ok && !p.State.IsFinal(), indexed, "progress %s", stored.Value)
+	require.Equal(t, ok, s.items[prefixJob+id].Revision > 0)
+}
+
+// crashingStore ends the writer with its next transaction.
+type crashingStore struct {
+	*fakeStore
+	crash context.CancelFunc
+}
+
+func (c *crashingStore) Commit(ctx context.Context, t core.Transaction) (int64, []core.Item, error) {
+	defer c.crash()
+	return c.fakeStore.Commit(ctx, t)
+}
+
+// TestRepairOfIndexOfDeposedOwnerCounts guards against an owner that makes the index count
+// as complete after the next owner has claimed.
+func TestRepairOfIndexOfDeposedOwnerCounts(t *testing.T) {
+	s, w := newTestWriter(t)
+	h := &host{ctx: t.Context(), writer: w, loaded: loadedJobs{open: []string{"000000000000000a"}}}
+	require.NoError(t, h.repairIndex())
+	require.Contains(t, s.items, prefixOpen+"000000000000000a")
+	require.Equal(t, mustEncode(openIndexRecord{w.lanes[0].sequence.Generation}), s.items[keyOpenIndex].Value)
+	before := s.items[keyOpenIndex]
+	s.claim(t)
+	h.loaded.open = []string{"000000000000000b"}
+	require.ErrorIs(t, h.repairIndex(), errDeposed)
+	require.Equal(t, before, s.items[keyOpenIndex])
+}
+
 // TestRemovalTakesJobSubmittedAnew guards against the removal of an expired job in the
 // same write that stores a new submission under its id.
 func TestRemovalTakesJobSubmittedAnew(t *testing.T) {
