--- a/edge/host_test.go
+++ b/edge/host_test.go
@@ -15,6 +15,7 @@
 	"jacinthwind/core/carrier"
 	"jacinthwind/core/cell"
 	"jacinthwind/core/fleet"
+	"jacinthwind/core/job"
 )
 
 // messageContext is an actor's context that only holds a message.
@@ -252,3 +253,15 @@
 	require.Equal(t, fleet.OrderDone, r.State.Outcome)
 	require.Greater(t, o.timeout(), 2*time.Second)
 }
+
+// TestEndedJobIsDroppedDuringHandover guards against an ended job that was read and that
+// the kernel does not take since the owner hands over: its caller would be told that there
+// is no such job.
+func TestEndedJobIsDroppedDuringHandover(t *testing.T) {
+	h, _ := newTestHost(t)
+	h.receiveMessage(beginHandover{})
+	h.receiveMessage(cell.EndedJobsLoaded{Jobs: []cell.EndedJob{{ID: "000000000000000a", State: job.Failed}}})
+	state, known := h.kernel.JobState("000000000000000a")
+	require.True(t, known)
+	require.Equal(t, job.Failed, state)
+}
