Take a silent store for silent without waiting for a copy

A read whose copy is under way ended only with the copy, 0.45 s later, also while the store answered nothing at all; a node asks its peers that much later. Now such a read ends with the first attempt.

TestCopyOfReadDelaysSilentStore failed before (the deadline of the test) and passes.

--- a/edge/relay.go
+++ b/edge/relay.go
@@ -307,7 +307,8 @@
 			if failed++; failed == 1 || !errors.Is(a.err, context.Canceled) {
 				last = a
 			}
-			if failed == sent {
+			silent := errors.Is(last.err, context.DeadlineExceeded) && r.isStoreSilent()
+			if failed == sent || silent {
 				return last
 			}
 		case <-t.C:
--- a/edge/relay_test.go
+++ b/edge/relay_test.go
@@ -309,3 +309,25 @@
 	require.Less(t, monotonicNow()-began, transferTime(size)/2)
 	require.Equal(t, transferTime(size), (&Relay{LinkBytesPerS: 250e3}).sendTime(size), "the slowest link")
 }
+
+// TestCopyOfReadDelaysSilentStore guards against a read that waits for its copy too, although
+// the store has answered nothing for as long as an answer may take to begin.
+func TestCopyOfReadDelaysSilentStore(t *testing.T) {
+	var calls atomic.Int32
+	r := &Relay{Log: eventlog.Nop(), peers: func() []string { return nil }}
+	r.Direct = func(ctx context.Context, call core.StoreCall) (int, []byte, error) {
+		if calls.Add(1) > 1 {
+			<-ctx.Done()
+			return 0, nil, ctx.Err()
+		}
+		time.Sleep(call.AnswerWithin)
+		return 0, nil, context.DeadlineExceeded
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 10*readResendDelay)
+	defer cancel()
+	_, _, err := r.SendCall(ctx, core.StoreCall{AnswerWithin: 2 * readResendDelay})
+	require.Error(t, err)
+	require.NoError(t, ctx.Err())
+	require.Equal(t, int32(2), calls.Load())
+	require.True(t, r.isDirectDown())
+}
