Do not bar an executor for service tasks that fail late

Callers saw service tasks that did not run although executors had room (LOST). An executor gets no work for 4 s after each second failure without a success in between. A service task is never done, so in a pool that runs little else the streak only grew, and every failure of a service task, which may come at any time, barred its executor for 4 s. With many such tasks on few executors these were barred most of the time. A service run that an executor kept for 2 s now ends its streak.

Found by reading. That this is what users saw is not shown. TestServiceFailuresDoNotBarTheirExecutors failed before: with 20 tasks on two executors and a failure each 0.5 s a task waited for 3 s after 10 s.

--- a/core/cell/runs.go
+++ b/core/cell/runs.go
@@ -157,6 +157,10 @@
 	t.currentRun = nil
 	if suspicion.IsInnocent(k.now.Monotonic - r.startedAt()) {
 		t.promptFailures = 0
+		if r.step.Service {
+			// It ran well here for some time, and it is never done.
+			x.failureStreak = 0
+		}
 	}
 	k.applyRunEnd(r.step, r.index, x, e)
 }
--- a/core/cell/wait_test.go
+++ b/core/cell/wait_test.go
@@ -198,3 +198,42 @@
 		})
 	}
 }
+
+// TestServiceFailuresDoNotBarTheirExecutors guards against executors that get no work since
+// service tasks fail there now and then, long after their start: no service task is ever done,
+// so nothing else cleared them.
+func TestServiceFailuresDoNotBarTheirExecutors(t *testing.T) {
+	w := newWorld(t, 2)
+	w.advance(time.Second)
+	j := simpleJob(1, 20, 500)
+	j.Steps[0].Service = true
+	w.submitJob(j)
+	w.advance(time.Second)
+	waits := map[string]time.Duration{}
+	for n := range 60 {
+		w.advance(500 * time.Millisecond)
+		// The run that has been active for longest fails.
+		var oldest *fakeRun
+		var on *fakeExecutor
+		running := map[string]bool{}
+		for _, id := range slices.Sorted(maps.Keys(w.executors)) {
+			x := w.executors[id]
+			for _, task := range slices.Sorted(maps.Keys(x.runs)) {
+				running[task] = true
+				if r := x.runs[task]; oldest == nil || r.startAt < oldest.startAt {
+					oldest, on = r, x
+				}
+			}
+		}
+		if n > 4 && oldest != nil && w.now > oldest.startAt+3*time.Second {
+			on.endRun(oldest, fleet.EndFailed)
+		}
+		for i := range 20 {
+			task := fmt.Sprintf("%s.0.0.%d", j.ID, i)
+			if waits[task] += 500 * time.Millisecond; running[task] {
+				waits[task] = 0
+			}
+			require.Less(t, waits[task], 3*time.Second, "at %v: %s waits", w.now, task)
+		}
+	}
+}
