--- a/core/cell/random_rooms_test.go
+++ b/core/cell/random_rooms_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -99,7 +100,7 @@
 
 // doRoomAction draws and performs one action.
 func (r *roomsWorld) doRoomAction() {
-	switch rapid.IntRange(0, 26).Draw(r.T, "act") {
+	switch rapid.IntRange(0, 27).Draw(r.T, "act") {
 	case 0, 1, 2, 3, 4:
 		r.submitShaped()
 	case 5:
@@ -135,6 +136,8 @@
 		x.unreachable = true
 		r.advance(time.Duration(rapid.IntRange(100, 6000).Draw(r.T, "ms")) * time.Millisecond)
 		x.unreachable = false
+	case 27:
+		r.failServiceRuns()
 	case 25, 26:
 		r.crashTogether()
 	case 24:
@@ -144,6 +147,19 @@
 	}
 }
 
+// failServiceRuns lets service runs fail, however long they have been active.
+func (r *roomsWorld) failServiceRuns() {
+	for range rapid.IntRange(1, 6).Draw(r.T, "failures") {
+		x := r.drawExecutor()
+		for _, task := range slices.Sorted(maps.Keys(x.runs)) {
+			if run := x.runs[task]; run.service && rapid.Bool().Draw(r.T, "fails") {
+				x.endRun(run, fleet.EndFailed)
+			}
+		}
+		r.advance(time.Duration(rapid.IntRange(100, 2000).Draw(r.T, "ms")) * time.Millisecond)
+	}
+}
+
 // crashTogether crashes some executors within a short time, once or twice.
 func (r *roomsWorld) crashTogether() {
 	for range rapid.IntRange(1, 2).Draw(r.T, "rounds") {
