--- a/core/suspicion/record.go
+++ b/core/suspicion/record.go
@@ -45,8 +45,7 @@
 	Crashes int `json:"n,omitempty"`
 	// Isolated counts those that crashed while the task ran there in isolation.
 	Isolated int `json:"i,omitempty"`
-	// Doubtful counts those that crashed in isolation beside another likely cause, or that
-	// were lost together with the owner.
+	// Doubtful counts those that crashed in isolation beside another likely cause.
 	Doubtful int `json:"d,omitempty"`
 	// Prompt is true if an executor crashed right after the task had started.
 	Prompt bool `json:"p,omitempty"`
@@ -128,11 +127,11 @@
 	r.OldestMs = max(r.OldestMs, min(v.Age, maxBystanderAge).Milliseconds())
 }
 
-// PresumeCrash counts a start of a suspected task that was lost together with its owner.
+// PresumeCrash counts a start of a suspected task that was lost together with its owner. It
+// proves nothing: the owner may not have started it.
 func (r *Record) PresumeCrash() {
 	if r.NeedsIsolation() {
 		r.Crashes++
-		r.Doubtful++
 	} else {
 		r.Beside++
 	}
--- a/core/suspicion/record_test.go
+++ b/core/suspicion/record_test.go
@@ -73,7 +73,8 @@
 	}{
 		"doubt, then proof":              {[]func(*suspicion.Record){crash(prompt), crash(doubtful), crash(isolated)}, true, true},
 		"doubt only":                     {[]func(*suspicion.Record){crash(prompt), crash(doubtful), crash(doubtful)}, true, false},
-		"lost with the owner, proof":     {[]func(*suspicion.Record){crash(prompt), (*suspicion.Record).PresumeCrash, crash(isolated)}, true, true},
+		"lost with the owner, isolated":  {[]func(*suspicion.Record){crash(prompt), (*suspicion.Record).PresumeCrash, crash(isolated)}, true, false},
+		"lost with the owner, proof":     {[]func(*suspicion.Record){crash(prompt), (*suspicion.Record).PresumeCrash, crash(doubtful), crash(isolated)}, true, true},
 		"beside a likelier cause twice":  {[]func(*suspicion.Record){beside, beside}, false, false},
 		"beside a likelier cause thrice": {[]func(*suspicion.Record){beside, beside, beside}, true, false},
 		"beside, then proof":             {[]func(*suspicion.Record){beside, beside, beside, crash(isolated)}, true, true},
