Start tasks that wait for long beside a run in isolation

A service task that has waited for 3 s, or another task for 2 s, now also starts on an executor that is closed; a crash there is still charged to the run in isolation.

A start without an answer does not count against its task as one in isolation: an executor that was already gone when the order arrived proved tasks guilty that had never run there (TestRandomFaultsKeepTheBudgetOfTasksThatCrashLate, a task given up after one loss).

The users' rules allow giving up after two; the check leaves out jobs that failed after two, and nothing else.

--- a/core/cell/avail_test.go
+++ b/core/cell/avail_test.go
@@ -57,6 +57,10 @@
 // step that an order ends.
 const testNotice = 4500 * time.Millisecond
 
+// crashesToGiveUp is how many executors must have crashed under a task for the users' rules
+// to let it be given up; that ends all tasks of its job.
+const crashesToGiveUp = 2
+
 // availWorld is a random world that checks the users' rule AVAIL after each step of time.
 type availWorld struct {
 	*randomWorld
@@ -89,6 +93,9 @@
 		}
 	}
 	for _, j := range a.services {
+		if a.jobState(j.ID) == job.Failed && a.mostLost(j.ID) >= crashesToGiveUp {
+			continue
+		}
 		var ended []string
 		for i := range j.Steps[0].Count {
 			task := job.TaskID{Job: j.ID, Index: i}.String()
--- a/core/cell/crash.go
+++ b/core/cell/crash.go
@@ -25,6 +25,9 @@
 	// maxIsolationWait is how long a service task waits to start in isolation. It leaves time
 	// to close an executor before the 6 s in which a service task must run again.
 	maxIsolationWait = 3 * time.Second
+	// maxClosedWait is how long a task that ends waits for an executor that is not closed, below
+	// the 3 s in which a job must have something running beside room for it.
+	maxClosedWait = 2 * time.Second
 	// recentAnswer is how recently an executor must have answered for a run to start there
 	// in isolation: one that was lost before says nothing of the run.
 	recentAnswer = 200 * time.Millisecond
@@ -86,7 +89,8 @@
 			t.crashes.AddLossOfRack(victims[i])
 		case slices.Contains(suspects, i):
 			victims[i].Doubtful = doubtful
-			t.crashes.Add(victims[i], certain)
+			// A start without an answer may never have been carried out.
+			t.crashes.Add(victims[i], certain && r.beganAt != 0)
 		case certain:
 			t.crashes.AddBystander(victims[i])
 		}
--- a/core/cell/schedule.go
+++ b/core/cell/schedule.go
@@ -131,8 +131,9 @@
 // startStep starts as many waiting tasks of a step as fit. Each start only makes the
 // room smaller, so what did not fit for an earlier step does not fit for a later one.
 func (k *Kernel) startStep(s *stepRun, free []*executor, full *fullPool) {
-	// Executors that are closed to others may be open to suspected tasks.
-	if !s.suspected && full.rejects(s.ReservedSize()) {
+	// Executors that are closed to others may be open to suspected tasks and to those that
+	// have waited for long.
+	if !s.suspected && k.now.Monotonic < s.readyAt+closedWait(s) && full.rejects(s.ReservedSize()) {
 		return
 	}
 	if s.job.queue != nil && s.job.queue.NeedsTicket && !k.ensureTickets(s, free) {
@@ -201,14 +202,34 @@
 	return (limit.CPU == 0 || used.CPU*2 < limit.CPU) && (limit.Mem == 0 || used.Mem*2 < limit.Mem) && (limit.GPU == 0 || used.GPU*2 < limit.GPU)
 }
 
+// closedWait returns how long a task waits for an executor that is not closed for isolated
+// runs before it starts on one that is.
+func closedWait(s *stepRun) time.Duration {
+	if s.Service {
+		return maxIsolationWait
+	}
+	return maxClosedWait
+}
+
 // chooseExecutor returns the best executor for a task, or nil.
 func (k *Kernel) chooseExecutor(s *stepRun, t *task, free []*executor) *executor {
+	open := slices.DeleteFunc(slices.Clone(free), k.isClosed)
+	x := k.chooseAmong(s, t, open)
+	if x == nil && len(open) < len(free) && k.now.Monotonic >= max(t.waitingSince, t.retryAt, s.readyAt)+closedWait(s) {
+		// A crash is still charged to the run in isolation.
+		x = k.chooseAmong(s, t, free)
+	}
+	return x
+}
+
+// chooseAmong returns the best of some executors for a task, or nil.
+func (k *Kernel) chooseAmong(s *stepRun, t *task, free []*executor) *executor {
 	need := s.ReservedSize()
 	var best *executor
 	var bestScore score
 	rackFull := false
 	for _, x := range free {
-		if !k.canRun(x, s, need) {
+		if !k.fits(x, s, need) {
 			rackFull = rackFull || (s.Rack != "" && x.Rack() == s.Rack && x.avoidUntil <= k.now.Monotonic)
 			continue
 		}
@@ -234,11 +255,6 @@
 	return k.now.Monotonic < s.readyAt+min(loss/2, maxRackWait) && k.latenessRank(s) == 0
 }
 
-// canRun reports whether an executor meets the requirements of a step.
-func (k *Kernel) canRun(x *executor, s *stepRun, need fleet.Vector) bool {
-	return k.fits(x, s, need) && !k.isClosed(x)
-}
-
 // fits reports whether an executor has room for a task and meets its requirements.
 func (k *Kernel) fits(x *executor, s *stepRun, need fleet.Vector) bool {
 	if s.tickets != nil {
