--- a/core/cell/waiting.go
+++ b/core/cell/waiting.go
@@ -70,7 +70,7 @@
 	need := s.ReservedSize()
 	var fitting, closed, roomy, avoided, cordoned, silent int
 	for _, x := range k.poolExecutors(s.job.Pool) {
-		if hasRoom(x, s, need) {
+		if hasRoom(x, s, need) && (s.PerExecutor == 0 || x.countRuns(s) < s.PerExecutor) {
 			roomy++
 			cordoned += countIf(x.cordoned)
 			silent += countIf(x.misses > 0 || !x.fenced || !x.listed)
