Report the end of a stream within a message as such

TestMessagesPassBothWaysAtOnce/plain failed twice in whole runs of the tests at a load of 20 to 40 (on with other changes) with "unexpected end of JSON input": a stream that ended within a message returned the rest of it as a message that cannot be decoded, as if the next one would follow, and hid why it had ended. Why it ended is not known; in 432 runs beside 24 processes (load 80, race detector) the test passed.

TestCutMessageIsReportedAsMalformed failed before and passes.

--- a/common/jsonstream/stream.go
+++ b/common/jsonstream/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"compress/flate"
 	"context"
 	"encoding/json"
@@ -74,6 +75,7 @@
 	s.lines = bufio.NewScanner(received)
 	s.SetSilence(silence)
 	s.lines.Buffer(make([]byte, 0, firstBufferBytes), jsonhttp.MaxMessageBytes)
+	s.lines.Split(s.splitMessages)
 	s.watchdog = time.AfterFunc(silence, s.abort)
 	return s
 }
@@ -94,6 +96,18 @@
 	return n, err
 }
 
+// splitMessages splits the received bytes into complete lines. The rest of a stream that
+// ends within a message is none.
+func (s *Stream) splitMessages(data []byte, atEOF bool) (int, []byte, error) {
+	if bytes.IndexByte(data, '\n') >= 0 {
+		return bufio.ScanLines(data, atEOF)
+	}
+	if atEOF && len(data) > 0 {
+		return 0, nil, io.ErrUnexpectedEOF
+	}
+	return 0, nil, nil
+}
+
 // Refuse answers a request that would have become a stream with an error. The usual
 // answer would wait for the end of the request's body.
 func Refuse(w http.ResponseWriter, status int, reason string) {
--- a/common/jsonstream/stream_test.go
+++ b/common/jsonstream/stream_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -230,3 +231,19 @@
 		s.Close()
 	}
 }
+
+// TestCutMessageIsReportedAsMalformed guards against a stream that ends within a message and
+// seems to go on after one that cannot be decoded.
+func TestCutMessageIsReportedAsMalformed(t *testing.T) {
+	url := serveStreams(t, testSilence, func(s *Stream) {
+		_ = s.write([]byte(`{"text":"cut`))
+	})
+	s, err := Open(t.Context(), http.DefaultClient, url, Options{Answer: testSilence, Silence: testSilence})
+	require.NoError(t, err)
+	defer s.Close()
+	var m testMessage
+	err = s.Receive(&m)
+	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	var malformed *DecodeError
+	require.NotErrorAs(t, err, &malformed)
+}
