--- /dev/null
+++ b/core/cell/world_jobs_test.go
@@ -0,0 +1,85 @@
+package cell_test
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/stretchr/testify/require"
+
+	"jacinthwind/core/cell"
+	"jacinthwind/core/fleet"
+	"jacinthwind/core/job"
+)
+
+// write stores a write of the present owner.
+func (w *world) write(k *cell.Kernel, e cell.Write) {
+	if !w.alive[k] {
+		return
+	}
+	if k != w.kernel {
+		// The store refuses the write of a deposed owner.
+		delete(w.alive, k)
+		return
+	}
+	if w.storeDown {
+		w.heldWrites = append(w.heldWrites, e)
+		return
+	}
+	w.removed = append(w.removed, e.Remove...)
+	for _, r := range e.Puts {
+		data, err := json.Marshal(r.Value)
+		require.NoError(w.t, err)
+		switch r.Kind {
+		case cell.JobRecord:
+			var j job.Job
+			require.NoError(w.t, json.Unmarshal(data, &j))
+			w.records[r.Name] = &j
+			if w.specs[r.Name] == nil {
+				w.specs[r.Name] = &j
+			}
+		case cell.WaveRecord:
+			require.NoError(w.t, json.Unmarshal(data, &w.waveRecord))
+		case cell.VMOrdersRecord:
+			require.NoError(w.t, json.Unmarshal(data, &w.orderRecord))
+		case cell.ProgressRecord:
+			var p job.Progress
+			require.NoError(w.t, json.Unmarshal(data, &p))
+			w.stored[r.Name] = p
+		}
+	}
+	w.step(cell.Written{Write: e.Number})
+}
+
+// submitJob submits a job and returns the id of the call.
+func (w *world) submitJob(j *job.Job) cell.CallID {
+	w.lastCall++
+	w.lookUpEnded(j.ID)
+	if j.Queue == "" {
+		j.Queue = "proofs"
+	}
+	w.step(cell.Submitted{Call: w.lastCall, Job: j})
+	return w.lastCall
+}
+
+func (w *world) cancelJob(id string) cell.CallID {
+	w.lastCall++
+	if w.watch != nil {
+		w.watch.cancelled[id] = true
+	}
+	w.lookUpEnded(id)
+	w.step(cell.CancelRequested{Call: w.lastCall, Job: id})
+	return w.lastCall
+}
+
+func (w *world) jobState(id string) job.State {
+	s, _ := w.kernel.JobState(id)
+	return s
+}
+
+// simpleJob returns a job of one step.
+func simpleJob(n, count int, cpu int64) *job.Job {
+	return &job.Job{
+		ID: fmt.Sprintf("%016x", n), Team: "notaries", Spec: "s",
+		Steps: []job.Step{{Count: count, Size: fleet.Vector{CPU: cpu, Mem: 100}, EstimateMs: 500}},
+	}
+}
