Look at closed executors for tasks that wait only while some are closed

A step that has waited for 2 s tried all executors of its pool at each decision, also while none was closed for an isolated run, and each choice copied the list of executors. Found in reading the change. The tests of core/cell pass.

--- a/core/cell/schedule.go
+++ b/core/cell/schedule.go
@@ -42,7 +42,7 @@
 		if len(free) == 0 {
 			continue
 		}
-		var full fullPool
+		full := fullPool{anyClosed: slices.ContainsFunc(free, k.isClosed)}
 		for _, s := range candidates {
 			k.startStep(s, free, &full)
 		}
@@ -121,7 +121,11 @@
 
 // fullPool remembers the smallest sizes of tasks for which no executor of a pool has
 // room at present, so that the steps behind them need not be tried.
-type fullPool struct{ sizes []fleet.Vector }
+type fullPool struct {
+	sizes []fleet.Vector
+	// anyClosed is true if an executor is closed for isolated runs.
+	anyClosed bool
+}
 
 // rejects reports whether a task of the given size cannot fit either.
 func (f *fullPool) rejects(size fleet.Vector) bool {
@@ -133,7 +137,8 @@
 func (k *Kernel) startStep(s *stepRun, free []*executor, full *fullPool) {
 	// Executors that are closed to others may be open to suspected tasks and to those that
 	// have waited for long.
-	if !s.suspected && k.now.Monotonic < s.readyAt+closedWait(s) && full.rejects(s.ReservedSize()) {
+	mayBeClosed := full.anyClosed && k.now.Monotonic >= s.readyAt+closedWait(s)
+	if !s.suspected && !mayBeClosed && full.rejects(s.ReservedSize()) {
 		return
 	}
 	if s.job.queue != nil && s.job.queue.NeedsTicket && !k.ensureTickets(s, free) {
@@ -213,23 +218,22 @@
 
 // chooseExecutor returns the best executor for a task, or nil.
 func (k *Kernel) chooseExecutor(s *stepRun, t *task, free []*executor) *executor {
-	open := slices.DeleteFunc(slices.Clone(free), k.isClosed)
-	x := k.chooseAmong(s, t, open)
-	if x == nil && len(open) < len(free) && k.now.Monotonic >= max(t.waitingSince, t.retryAt, s.readyAt)+closedWait(s) {
+	x := k.chooseAmong(s, t, free, false)
+	if x == nil && k.now.Monotonic >= max(t.waitingSince, t.retryAt, s.readyAt)+closedWait(s) && slices.ContainsFunc(free, k.isClosed) {
 		// A crash is still charged to the run in isolation.
-		x = k.chooseAmong(s, t, free)
+		x = k.chooseAmong(s, t, free, true)
 	}
 	return x
 }
 
-// chooseAmong returns the best of some executors for a task, or nil.
-func (k *Kernel) chooseAmong(s *stepRun, t *task, free []*executor) *executor {
+// chooseAmong returns the best executor for a task, closed ones included or not, or nil.
+func (k *Kernel) chooseAmong(s *stepRun, t *task, free []*executor, closed bool) *executor {
 	need := s.ReservedSize()
 	var best *executor
 	var bestScore score
 	rackFull := false
 	for _, x := range free {
-		if !k.fits(x, s, need) {
+		if !k.fits(x, s, need) || (!closed && k.isClosed(x)) {
 			rackFull = rackFull || (s.Rack != "" && x.Rack() == s.Rack && x.avoidUntil <= k.now.Monotonic)
 			continue
 		}
