--- a/core/cell/avail_test.go
+++ b/core/cell/avail_test.go
@@ -148,7 +148,7 @@
 		for range rapid.IntRange(1, 3).Draw(t, "services") {
 			a.jobs++
 			j := simpleJob(a.jobs, rapid.IntRange(2, 5).Draw(t, "count"), int64(rapid.IntRange(1, 4).Draw(t, "cpu"))*500)
-			j.Steps[0].Service, j.Steps[0].MaxUnavailable = true, rapid.IntRange(1, 2).Draw(t, "mayMiss")
+			j.Steps[0].Service, j.Steps[0].MaxUnavailable = true, rapid.IntRange(1, 2).Draw(t, "budget")
 			a.submitJob(j)
 			a.services = append(a.services, j)
 		}
