Compute sizes of puts and waits of tasks in one place

Found in reading the whole change again: the size of a transaction's values was summed in two places, the time since which a task waits was written out in five, a method did not use its receiver, and the VMs that a spare pool misses were counted and not used. No behaviour changes.

--- a/common/jsonstream/stream.go
+++ b/common/jsonstream/stream.go
@@ -75,7 +75,7 @@
 	s.lines = bufio.NewScanner(received)
 	s.SetSilence(silence)
 	s.lines.Buffer(make([]byte, 0, firstBufferBytes), jsonhttp.MaxMessageBytes)
-	s.lines.Split(s.splitMessages)
+	s.lines.Split(splitMessages)
 	s.watchdog = time.AfterFunc(silence, s.abort)
 	return s
 }
@@ -98,7 +98,7 @@
 
 // splitMessages splits the received bytes into complete lines. The rest of a stream that
 // ends within a message is none.
-func (s *Stream) splitMessages(data []byte, atEOF bool) (int, []byte, error) {
+func splitMessages(data []byte, atEOF bool) (int, []byte, error) {
 	if bytes.IndexByte(data, '\n') >= 0 {
 		return bufio.ScanLines(data, atEOF)
 	}
--- a/core/cell/cordon.go
+++ b/core/cell/cordon.go
@@ -46,7 +46,7 @@
 	}
 	return slices.ContainsFunc(s.tasks, func(t task) bool {
 		return t.state == taskWaiting && !t.uncertain && t.retryAt <= k.now.Monotonic &&
-			k.now.Monotonic >= max(t.waitingSince, s.readyAt)+maxCordonedWait
+			k.now.Monotonic >= t.waitsSince(s)+maxCordonedWait
 	})
 }
 
--- a/core/cell/crash.go
+++ b/core/cell/crash.go
@@ -297,7 +297,7 @@
 	}
 	need := s.ReservedSize()
 	fitting := slices.DeleteFunc(slices.Clone(free), func(x *executor) bool { return !k.fits(x, s, need) })
-	if s.Service && t.crashes.MayJoin() && k.now.Monotonic >= max(t.waitingSince, s.readyAt)+maxIsolationWait {
+	if s.Service && t.crashes.MayJoin() && k.now.Monotonic >= t.waitsSince(s)+maxIsolationWait {
 		if x := k.executorOfSuspects(fitting); x != nil {
 			x.closedUntil = max(x.closedUntil, k.now.Monotonic+isolationCloseTime)
 			return x, false
--- a/core/cell/lending.go
+++ b/core/cell/lending.go
@@ -111,8 +111,10 @@
 	slices.Sort(order)
 	for _, name := range order {
 		p := byName[name]
-		if missing := k.countMissingVMs(name) - empty[name]; missing > 0 && !p.Spare {
-			p.MinVMs = max(p.MinVMs, serving[name]+missing)
+		if !p.Spare {
+			if missing := k.countMissingVMs(name) - empty[name]; missing > 0 {
+				p.MinVMs = max(p.MinVMs, serving[name]+missing)
+			}
 		}
 		pools = append(pools, *p)
 	}
@@ -158,7 +160,7 @@
 	n := 0
 	for i := range s.tasks {
 		t := &s.tasks[i]
-		if t.state == taskWaiting && !t.uncertain && max(t.waitingSince, t.retryAt, s.readyAt)+unplacedAfter <= k.now.Monotonic {
+		if t.state == taskWaiting && !t.uncertain && max(t.waitsSince(s), t.retryAt)+unplacedAfter <= k.now.Monotonic {
 			n++
 		}
 	}
--- a/core/cell/schedule.go
+++ b/core/cell/schedule.go
@@ -219,7 +219,7 @@
 // chooseExecutor returns the best executor for a task, or nil.
 func (k *Kernel) chooseExecutor(s *stepRun, t *task, free []*executor) *executor {
 	x := k.chooseAmong(s, t, free, false)
-	if x == nil && k.now.Monotonic >= max(t.waitingSince, t.retryAt, s.readyAt)+closedWait(s) && slices.ContainsFunc(free, k.isClosed) {
+	if x == nil && k.now.Monotonic >= max(t.waitsSince(s), t.retryAt)+closedWait(s) && slices.ContainsFunc(free, k.isClosed) {
 		// A crash is still charged to the run in isolation.
 		x = k.chooseAmong(s, t, free, true)
 	}
--- a/core/cell/waiting.go
+++ b/core/cell/waiting.go
@@ -46,6 +46,9 @@
 	}
 }
 
+// waitsSince returns since when a task of a step has waited for an executor.
+func (t *task) waitsSince(s *stepRun) time.Duration { return max(t.waitingSince, s.readyAt) }
+
 // longestWait returns the step and the index of the service task that has waited longest in
 // a pool, and since when; the step is nil if there is none.
 func (k *Kernel) longestWait(p *pool) (longest *stepRun, index int, since time.Duration) {
@@ -55,7 +58,7 @@
 		}
 		for i := range s.tasks {
 			t := &s.tasks[i]
-			if at := max(t.waitingSince, s.readyAt); t.state == taskWaiting && (longest == nil || at < since) {
+			if at := t.waitsSince(s); t.state == taskWaiting && (longest == nil || at < since) {
 				longest, index, since = s, i, at
 			}
 		}
--- a/edge/writer.go
+++ b/edge/writer.go
@@ -89,9 +89,10 @@
 
 func (c *change) entries() int { return len(c.puts) + len(c.remove) }
 
-func (c *change) bytes() int {
+// valueBytes returns the size of the values of puts.
+func valueBytes(puts []core.Put) int {
 	n := 0
-	for _, p := range c.puts {
+	for _, p := range puts {
 		n += len(p.Value)
 	}
 	return n
@@ -199,7 +200,7 @@
 	entries, size := 0, 0
 	for i, c := range changes {
 		entries += c.entries()
-		size += c.bytes()
+		size += valueBytes(c.puts)
 		if i > 0 && (entries > maxCommitEntries || size > maxCommitBytes) {
 			return i
 		}
@@ -238,11 +239,7 @@
 
 // commitOnce sends a transaction with a timeout.
 func (w *writer) commitOnce(ctx context.Context, t core.Transaction) (int64, []core.Item, error) {
-	size := 0
-	for _, p := range t.Puts {
-		size += len(p.Value)
-	}
-	ctx, cancel := context.WithTimeout(ctx, commitTimeout+transferTime(base64.StdEncoding.EncodedLen(size)))
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout+transferTime(base64.StdEncoding.EncodedLen(valueBytes(t.Puts))))
 	defer cancel()
 	return w.store.Commit(ctx, t)
 }
