--- a/review/standin/cluster.go
+++ b/review/standin/cluster.go
@@ -189,6 +189,21 @@
 	return nil
 }
 
+// restart lets the machine of a crashed executor come back with a new one.
+func (c *cluster) restart(i int) error {
+	old := c.executors[i]
+	c.ids++
+	x, err := newExecutor(fmt.Sprintf("i-%08x", 0x3b000000+c.ids), old.service, old.zone, old.rack, old.machine, c.judge, c.store)
+	if err != nil {
+		return err
+	}
+	c.executors[i] = x
+	c.cloud.mu.Lock()
+	c.cloud.executors[i] = x
+	c.cloud.mu.Unlock()
+	return nil
+}
+
 func freePorts(n int) ([]string, error) {
 	var found []string
 	for range n {
@@ -320,6 +335,7 @@
 	After       []int  `json:"after,omitempty"`
 	LongRunning bool   `json:"longRunning,omitempty"`
 	MaxPer      int    `json:"maxPerServer,omitempty"`
+	MayMiss     int    `json:"mayMiss,omitempty"`
 	Requires    string `json:"requires,omitempty"`
 }
 
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -21,6 +21,7 @@
 )
 
 var cases = map[string]func(c *cluster, trouble bool) (broken bool, err error){
+	"crash":  playCrash,
 	"ends":   playEnds,
 	"record": playRecord,
 	"route":  playRoute,
