--- a/review/standin/cluster.go
+++ b/review/standin/cluster.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -204,23 +205,26 @@
 	return nil
 }
 
+// freePorts returns addresses whose ports are free, below those that outgoing connections use.
 func freePorts(n int) ([]string, error) {
 	var found []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for range 1000 {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 20000+rand.IntN(12000)))
 		if err != nil {
-			return nil, err
+			continue
 		}
 		defer l.Close()
-		found = append(found, l.Addr().String())
+		if found = append(found, l.Addr().String()); len(found) == n {
+			return found, nil
+		}
 	}
-	return found, nil
+	return nil, fmt.Errorf("no free ports")
 }
 
 // addNodes starts processes of the project.
 func (c *cluster) addNodes(n int) error {
 	zones := []string{"norte-a", "norte-b", "norte-c", "norte-d"}
-	for i := range n {
+	for i, tries := 0, 0; i < n; i++ {
 		a, err := freePorts(3)
 		if err != nil {
 			return err
@@ -238,6 +242,17 @@
 		if err := c.startNode(d); err != nil {
 			return err
 		}
+		select {
+		case <-d.exited:
+			// Another process has taken a port since.
+			c.note("process %s ended at its start", d.name)
+			if tries++; tries > 5 {
+				return fmt.Errorf("process %s does not start", d.name)
+			}
+			c.nodes = c.nodes[:len(c.nodes)-1]
+			i--
+		case <-time.After(150 * time.Millisecond):
+		}
 	}
 	return nil
 }
--- a/review/standin/executor.go
+++ b/review/standin/executor.go
@@ -101,6 +101,8 @@
 	ended    []endRow
 	nextEnd  int64
 	seq      int64
+	// lapsed is true while the lease has expired, the last time at lapsedAt.
+	lapsed   bool
 	lapsedAt time.Time
 	changed  chan struct{}
 	dead     bool
@@ -154,8 +156,10 @@
 			x.mu.Unlock()
 			return
 		}
-		if len(x.active) > 0 && x.clock() > x.deadline {
-			x.lapsedAt = time.Now()
+		if x.deadline > 0 && x.clock() > x.deadline && !x.lapsed {
+			x.lapsed, x.lapsedAt = true, time.Now()
+		}
+		if x.lapsed {
 			for _, key := range x.activeKeys() {
 				x.finish(x.active[key], "lapsed")
 			}
@@ -269,6 +273,7 @@
 // extend takes a deadline, which never shortens the present one.
 func (x *executor) extend(deadline int64) {
 	x.deadline = max(x.deadline, min(deadline, x.clock()+holdMaxMs))
+	x.lapsed = x.lapsed && x.clock() > x.deadline
 }
 
 func (x *executor) start(w http.ResponseWriter, task string, run int, spec string, deadline int64) {
