--- a/review/standin/cluster.go
+++ b/review/standin/cluster.go
@@ -453,8 +453,10 @@
 func (c *cluster) configure(version int, service string, routes ...map[string]any) bool {
 	return c.store.put("op/config", map[string]any{
 		"version": version, "routes": routes,
-		"services": []map[string]any{{"name": service, "healthPath": "/healthz", "maxConns": 64, "protocol": "h1", "tls": false,
-			"coldS": 0, "coldPerS": 0, "rejectsOverload": false, "spare": false}},
+		"services": []map[string]any{{
+			"name": service, "healthPath": "/healthz", "maxConns": 64, "protocol": "h1", "tls": false,
+			"coldS": 0, "coldPerS": 0, "rejectsOverload": false, "spare": false,
+		}},
 		"limits":  map[string]any{"headerBytes": 16384, "bodyBytes": 262144, "headerMs": 3000, "idleTimeoutMs": 15000},
 		"tenants": []map[string]any{{"name": "cugo130", "apiKeys": []string{key}, "priority": 1, "weight": 65, "cap": map[string]int{"cpu": 0, "memMb": 0, "gpu": 0}}},
 	})
--- a/review/standin/executor.go
+++ b/review/standin/executor.go
@@ -347,7 +347,7 @@
 			continue
 		}
 		x.judge.mu.Lock()
-		if e.rec.noted.IsZero() && !(x.lapsedAt.After(e.rec.endedAt)) {
+		if e.rec.noted.IsZero() && !x.lapsedAt.After(e.rec.endedAt) {
 			e.rec.noted = time.Now()
 		}
 		x.judge.mu.Unlock()
