Keep runs whose ends an executor has not listed yet

Cause: an executor lists all active runs but only 500 ends at a time. A run in neither list was taken as lost and its task started again. Ends cannot be acknowledged while the store is down, so the list grows past its limit.

Change: the decoded answer says whether more ends may follow. While they may, a run in neither list keeps its state and its room. The same cause on related paths: the end of a takeover, stragglers, VMs of a late wave. The rest of the list is requested as soon as an acknowledgement is stored. Event 628 tells a cut list from a whole one, which event 607 did not.

Ruled out: runs that lapsed (no end `lapsed`), another owner (one token in all starts).

--- a/core/cell/executors.go
+++ b/core/cell/executors.go
@@ -136,7 +136,8 @@
 		}
 	}
 	x.incarnationStartedMs, x.fenced = startedMs, false
-	x.ackedEnd, x.seenEnd, x.clockMs, x.grantedDeadlineMs = 0, 0, 0, 0
+	x.ackedEnd, x.seenEnd, x.moreEnded = 0, 0, false
+	x.clockMs, x.grantedDeadlineMs = 0, 0
 	x.failureStreak, x.knownSince, x.incarnationSeenAt = 0, k.now.Monotonic, k.now.Monotonic
 	x.closedUntil, x.aliveAt = 0, 0
 	x.expectedStartMs, x.refutedStartMs, x.unsizedRuns = 0, 0, 0
@@ -244,6 +245,7 @@
 		for _, r := range sortedRuns(x) {
 			k.abandonRun(r, reason)
 		}
+		x.moreEnded = false
 		if !x.listed {
 			k.log(event.ExecutorRemoved, "executor", x.ID)
 			delete(k.executors, x.ID)
--- a/core/cell/fake_executor_test.go
+++ b/core/cell/fake_executor_test.go
@@ -267,6 +267,9 @@
 		s.Active = append(s.Active, fleet.ActiveRun{Task: task, Run: x.runs[task].run, Percent: x.runs[task].percent(w.now), Load: x.loads[task]})
 	}
 	s.Ended = append(s.Ended, x.ended...)
+	if w.maxListedEnds > 0 && len(s.Ended) >= w.maxListedEnds {
+		s.Ended, s.MoreEnded = s.Ended[:w.maxListedEnds], true
+	}
 	return s
 }
 
--- a/core/cell/random_test.go
+++ b/core/cell/random_test.go
@@ -20,8 +20,21 @@
 // twice, that no executor exceeds its capacity, and that no task starts after its end
 // was acknowledged. In the end all accepted jobs must be done.
 func TestRandomFaultsKeepInvariants(t *testing.T) {
+	playRandomFaults(t, 0)
+}
+
+// TestRandomFaultsKeepInvariantsOfShortLists guards against taking runs as lost whose ends
+// the executor has not listed yet (review case 1).
+func TestRandomFaultsKeepInvariantsOfShortLists(t *testing.T) {
+	playRandomFaults(t, 2)
+}
+
+// playRandomFaults plays random faults on executors that list at most maxListedEnds ends
+// at a time, zero for no limit.
+func playRandomFaults(t *testing.T, maxListedEnds int) {
 	rapid.Check(t, func(t *rapid.T) {
 		r := &randomWorld{T: t, world: newWorld(t, rapid.IntRange(1, 5).Draw(t, "executors"))}
+		r.maxListedEnds = maxListedEnds
 		r.watchRandomWaits()
 		r.advance(time.Second)
 		seed := rapid.Uint64().Draw(t, "outcomes")
--- a/core/cell/recover.go
+++ b/core/cell/recover.go
@@ -86,7 +86,7 @@
 
 // finishRecovery ends the recovery once no order of an earlier owner can be in
 // effect unnoticed: either every executor has answered under our token, or all
-// inherited deadlines have passed.
+// inherited deadlines have passed; and every executor that answers has listed all its ends.
 func (k *Kernel) finishRecovery() {
 	if !k.recovering || !k.ownershipProved() {
 		// Without a proof a later owner may have taken over the runs that this owner
@@ -96,6 +96,10 @@
 	if k.now.Monotonic < k.claimedAt+k.inheritedDeadlineBound() && !k.allFenced() {
 		return
 	}
+	if slices.ContainsFunc(k.sortedExecutors(), func(x *executor) bool { return x.moreEnded }) {
+		// Runs whose ends are not listed yet have not lapsed with the inherited deadlines.
+		return
+	}
 	k.recovering, k.recoveredAt = false, k.now.Monotonic
 	uncertain := 0
 	for _, id := range slices.Sorted(maps.Keys(k.jobs)) {
--- a/core/cell/renewal.go
+++ b/core/cell/renewal.go
@@ -78,6 +78,8 @@
 		return 0, 0
 	case k.isClosed(x):
 		return isolationRenewalInterval, 0
+	case x.moreEnded && x.seenEnd == x.ackedEnd:
+		return minRenewalInterval, 0
 	case x.unsizedRuns > 0, x.seenEnd > x.ackedEnd:
 		return unackedRenewalInterval, 0
 	case len(x.runs) == 0:
@@ -150,6 +152,10 @@
 			x.seenEnd = end.Number
 		}
 	}
+	if s.MoreEnded != x.moreEnded {
+		x.moreEnded = s.MoreEnded
+		k.log(event.EndsWithheld, "executor", x.ID, "more", x.moreEnded, "seen", x.seenEnd, "acknowledged", x.ackedEnd, "runs", len(x.runs))
+	}
 	if x.seenEnd > x.ackedEnd {
 		k.outbox.acks = append(k.outbox.acks, ack{x, x.incarnationStartedMs, x.seenEnd})
 	}
@@ -186,6 +192,7 @@
 			r.state = runActive
 			r.answeredAt, r.beganAt = k.now.Monotonic, k.now.Monotonic
 		}
+		r.unlisted = false
 		if r.firstReportAt == 0 {
 			r.firstReportAt, r.firstPercent = k.now.Monotonic, a.Percent
 		}
@@ -201,7 +208,10 @@
 		if listed[runKey{r.name, r.number}] || r.answeredAt == 0 || sent <= r.answeredAt {
 			continue
 		}
+		r.unlisted = x.moreEnded
 		switch {
+		case r.unlisted:
+			// Its end may be among those that are not listed yet.
 		case r.state == runUnknown:
 			k.stopRun(r)
 		case r.state == runStopping && !r.stopConfirmed:
--- a/core/cell/state.go
+++ b/core/cell/state.go
@@ -151,6 +151,9 @@
 	load            int64
 	throttlePercent int
 	throttledAt     time.Duration
+	// unlisted is true while the executor's lists do not show whether the run is active or
+	// has ended.
+	unlisted bool
 	// isolated is true while nothing else may start on the executor, so that a crash
 	// shows what this run does.
 	isolated bool
@@ -208,7 +211,10 @@
 	// ackedEnd that of the last one that is stored and may be acknowledged.
 	ackedEnd int64
 	seenEnd  int64
-	renewing bool
+	// moreEnded is true while the executor may hold ends after seenEnd that it has not
+	// listed yet.
+	moreEnded bool
+	renewing  bool
 	// renewalEndedAt is when the last renewal was answered or failed.
 	renewalEndedAt time.Duration
 	// lastAnswerAt is when the executor last answered a call.
--- a/core/cell/straggler.go
+++ b/core/cell/straggler.go
@@ -33,7 +33,7 @@
 	var speeds, judged int64
 	var stalled, slow []*run
 	for _, r := range sortedRuns(x) {
-		if r.state != runActive || r.step.Service || r.step.BestEffort || r.step.Gang || r.step.EstimateMs <= 0 || r.firstReportAt == 0 {
+		if r.state != runActive || r.unlisted || r.step.Service || r.step.BestEffort || r.step.Gang || r.step.EstimateMs <= 0 || r.firstReportAt == 0 {
 			continue
 		}
 		if k.now.Monotonic >= r.progressedAt+stallTimeout<<min(r.task().straggled, maxPatience) {
--- a/core/cell/wave.go
+++ b/core/cell/wave.go
@@ -295,9 +295,9 @@
 	return vm.Executor == "" && !k.config.IsSparePool(vm.Pool)
 }
 
-// hasUnstoredEnds reports whether the executor lists run ends that are not stored
+// hasUnstoredEnds reports whether the executor may have run ends that are not stored
 // yet, so that no one else knows them.
-func (x *executor) hasUnstoredEnds() bool { return x.seenEnd > x.ackedEnd }
+func (x *executor) hasUnstoredEnds() bool { return x.moreEnded || x.seenEnd > x.ackedEnd }
 
 // evictServiceRuns stops the service runs of a cordoned executor as far as their
 // disruption budgets allow, so that they start elsewhere.
--- a/core/event/platform.go
+++ b/core/event/platform.go
@@ -25,6 +25,7 @@
 	ExecutorRemoved       Number = 625
 	ExecutorLost          Number = 626
 	ExecutorResized       Number = 627
+	EndsWithheld          Number = 628
 	MoveOrdered           Number = 631
 	UpkeepOrdered         Number = 632
 	VMOrderAnswered       Number = 633
@@ -98,6 +99,7 @@
 		ExecutorRemoved:       "an executor that is no longer listed was forgotten",
 		ExecutorLost:          "an executor ended or stayed out of reach with runs in progress",
 		ExecutorResized:       "an executor offers more or less capacity than before",
+		EndsWithheld:          "an executor has more ends than it lists at a time, or lists all of them again",
 		MoveOrdered:           "a VM was ordered to move to another pool",
 		UpkeepOrdered:         "the maintenance of a VM was ordered",
 		VMOrderAnswered:       "an order for a VM was answered or got no answer",
--- a/core/fleet/order.go
+++ b/core/fleet/order.go
@@ -88,6 +88,9 @@
 	StartedMs int64       `json:"started_ms,omitempty"`
 	Active    []ActiveRun `json:"active,omitempty"`
 	Ended     []EndedRun  `json:"ended,omitempty"`
+	// MoreEnded is true if Ended may hold only the first of the unacknowledged ends: a
+	// run that is in neither list may have ended.
+	MoreEnded bool `json:"more_ended,omitempty"`
 }
 
 // ActiveRun is a run in progress on an executor.
