Take a write that the store rejects as final, and keep all others going

Cause: a status of 4xx was read as "the store does not serve". The writer repeats such a transaction for ever, and the kernel has one write under way at a time.

Change: ErrRejected for a transaction that the store will never take. The writer stores the changes of a rejected transaction one by one and reports the jobs that remain; a new one is refused, an accepted one fails, and its ends are acknowledged once that is stored. Events 749 and 616 say so.

Ruled out: a slow store (718 holds a status, no time-out) and a used-up rate (413, not 429); the number of the write is the same in all events 718.

--- a/core/cell/event.go
+++ b/core/cell/event.go
@@ -92,8 +92,12 @@
 	// answers for them and their records are removed in time. Jobs that the kernel knows
 	// stay as they are.
 	EndedJobsLoaded struct{ Jobs []EndedJob }
-	// Written reports that a Write is stored.
-	Written struct{ Write int64 }
+	// Written reports that a Write is stored, but for the records of the rejected jobs.
+	Written struct {
+		Write int64
+		// Rejected holds the ids of the jobs whose records the store does not take.
+		Rejected []string
+	}
 	// VMOrdered is the answer to an order for a VM.
 	VMOrdered struct {
 		VM      string
--- a/core/cell/kernel.go
+++ b/core/cell/kernel.go
@@ -203,7 +203,7 @@
 	case EndedJobsLoaded:
 		k.addEndedJobs(e.Jobs)
 	case Written:
-		k.handleWritten(e.Write)
+		k.handleWritten(e)
 	case VMOrdered:
 		k.handleVMOrderAnswer(e)
 	case AdviceReceived:
--- a/core/cell/outbox.go
+++ b/core/cell/outbox.go
@@ -87,7 +87,7 @@
 	o.lastWrite++
 	w.Number, o.inFlightWrite, o.flushedAt = o.lastWrite, o.lastWrite, k.now.Monotonic
 	if len(w.Puts)+len(w.Remove) == 0 {
-		k.handleWritten(o.lastWrite)
+		k.handleWritten(Written{Write: o.lastWrite})
 		return
 	}
 	k.emit(w)
@@ -104,26 +104,71 @@
 }
 
 // handleWritten completes everything that waited for a write.
-func (k *Kernel) handleWritten(number int64) {
+func (k *Kernel) handleWritten(e Written) {
 	o := &k.outbox
-	if number != o.inFlightWrite {
+	if e.Write != o.inFlightWrite {
 		return
 	}
-	o.inFlightWrite = 0
-	for _, a := range o.inFlightBatch.acks {
+	done := o.inFlightBatch
+	o.inFlightWrite, o.inFlightBatch = 0, batch{}
+	rejected := map[string]bool{}
+	for _, id := range e.Rejected {
+		rejected[id] = true
+	}
+	unstored := false
+	for _, j := range done.jobs {
+		if !rejected[j.ID] {
+			k.handleJobStored(j)
+			continue
+		}
+		unstored = k.handleJobRejected(j) || unstored
+	}
+	if unstored {
+		// The ends of a job that fails now are not needed once that is stored.
+		o.acks = append(done.acks, o.acks...)
+		done.acks = nil
+	}
+	for _, a := range done.acks {
 		if a.executor.incarnationStartedMs == a.startedMs {
 			a.executor.ackedEnd = max(a.executor.ackedEnd, a.number)
 		}
 	}
-	for _, j := range o.inFlightBatch.jobs {
-		k.handleJobStored(j)
-	}
-	for _, vm := range o.inFlightBatch.vmOrders {
+	for _, vm := range done.vmOrders {
 		if order, ok := k.vmOrders[vm]; ok && !order.recorded {
 			k.sendVMOrder(vm, order)
 		}
 	}
-	o.inFlightBatch = batch{}
+}
+
+// handleJobRejected refuses a new job whose record the store does not take, and fails one
+// that was accepted before: nothing of it could be stored any more. It reports whether the
+// job's end is still to be stored.
+func (k *Kernel) handleJobRejected(j *jobState) bool {
+	k.log(event.JobUnstorable, "job", j.ID, "state", j.state, "accepted", j.stored)
+	switch {
+	case !j.stored:
+		k.forgetUnstoredJob(j)
+		return false
+	case !j.state.IsFinal():
+		k.endJob(j, job.Failed)
+		return true
+	}
+	// Not even its end is taken; what other jobs wait for goes on.
+	return false
+}
+
+// forgetUnstoredJob drops a job that was never accepted, and answers its callers.
+func (k *Kernel) forgetUnstoredJob(j *jobState) {
+	for _, c := range j.submitCalls {
+		k.emit(Reply{c, Answer{Verdict: Unservable, Reason: "the store does not take the job's record"}})
+	}
+	for _, c := range j.cancelCalls {
+		k.emit(Reply{c, Answer{Verdict: NotFound}})
+	}
+	k.markStarted(j)
+	k.closeJob(j)
+	delete(k.jobs, j.ID)
+	delete(k.outbox.dirty, j.ID)
 }
 
 // handleJobStored answers the callers that wait for a job to be stored, and begins
--- a/core/cell/world_jobs_test.go
+++ b/core/cell/world_jobs_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 
 	"github.com/stretchr/testify/require"
 
@@ -26,7 +27,11 @@
 		return
 	}
 	w.removed = append(w.removed, e.Remove...)
+	rejected := w.rejectedJobs(e)
 	for _, r := range e.Puts {
+		if slices.Contains(rejected, r.Name) {
+			continue
+		}
 		data, err := json.Marshal(r.Value)
 		require.NoError(w.t, err)
 		switch r.Kind {
@@ -47,7 +52,18 @@
 			w.stored[r.Name] = p
 		}
 	}
-	w.step(cell.Written{Write: e.Number})
+	w.step(cell.Written{Write: e.Number, Rejected: rejected})
+}
+
+// rejectedJobs returns the jobs of a write with a record that the store rejects.
+func (w *world) rejectedJobs(e cell.Write) []string {
+	var rejected []string
+	for _, r := range e.Puts {
+		if w.rejects != nil && w.rejects(r) && !slices.Contains(rejected, r.Name) {
+			rejected = append(rejected, r.Name)
+		}
+	}
+	return rejected
 }
 
 // submitJob submits a job and returns the id of the call.
--- a/core/cell/world_test.go
+++ b/core/cell/world_test.go
@@ -107,6 +107,8 @@
 	disturbedAt time.Duration
 	// guardsRoom makes executors refuse what exceeds their room, like those of some pools.
 	guardsRoom bool
+	// rejects reports whether the store rejects a record; it is nil if it takes all.
+	rejects func(cell.Record) bool
 	// maxListedEnds is how many ends an executor lists in one answer, zero for no limit.
 	maxListedEnds int
 	// waves and evacuated hold what operators ask for.
--- a/core/event/platform.go
+++ b/core/event/platform.go
@@ -18,6 +18,7 @@
 	RunStraggles          Number = 613
 	TaskGivenUp           Number = 614
 	TaskWaits             Number = 615
+	JobUnstorable         Number = 616
 	ExecutorSilent        Number = 621
 	ExecutorAnswers       Number = 622
 	ExecutorAvoided       Number = 623
@@ -73,6 +74,7 @@
 	OrderTooOld           Number = 746
 	RecordSkipped         Number = 747
 	EndedJobsLoaded       Number = 748
+	WriteRejected         Number = 749
 )
 
 func init() {
@@ -92,6 +94,7 @@
 		RunStraggles:          "a run that makes no or too little progress is stopped to run elsewhere",
 		TaskGivenUp:           "a task is given up since it crashes the executors that start it",
 		TaskWaits:             "the service task that has waited longest for an executor of a pool, and why it does not start",
+		JobUnstorable:         "the store does not take the records of a job; a new job is refused, an accepted one fails",
 		ExecutorSilent:        "an executor does not answer",
 		ExecutorAnswers:       "an executor answers again",
 		ExecutorAvoided:       "an executor that failed runs gets no work for a while",
@@ -147,6 +150,7 @@
 		OrderTooOld:           "an order was not sent to its executor since it had become too old on its way",
 		RecordSkipped:         "a stored record cannot be read and is skipped",
 		EndedJobsLoaded:       "the owner knows all jobs that ended under earlier owners",
+		WriteRejected:         "the store rejects a record for its form or size; its job is refused or fails, and all other writes go on",
 	} {
 		Catalogue[n] = text
 	}
@@ -160,6 +164,7 @@
 	RecordSkipped:        true,
 	TaskGivenUp:          true,
 	TaskWaits:            true,
+	JobUnstorable:        true,
 	RunNotWanted:         true,
 	RunStraggles:         true,
 	ExecutorSilent:       true,
@@ -172,6 +177,7 @@
 	ClaimFailed:          true,
 	LeaseNotRenewed:      true,
 	WriteUnanswered:      true,
+	WriteRejected:        true,
 	StoreLost:            true,
 	ConfigurationLost:    true,
 	OperatorEntrySkipped: true,
--- a/core/metadata.go
+++ b/core/metadata.go
@@ -18,6 +18,9 @@
 	ErrConflict = errors.New("store transaction: a condition does not hold")
 	// ErrUncertain means that a write got no answer and may still take effect.
 	ErrUncertain = errors.New("store write got no answer and may still take effect")
+	// ErrRejected means that the store does not take a transaction because of its form or
+	// size: nothing changed, and a repetition would be rejected again.
+	ErrRejected = errors.New("store rejects the transaction")
 )
 
 // Item is a key of the metadata store with its value.
@@ -93,8 +96,8 @@
 	// Watch waits for changes under prefix that are later than the revision in
 	// after, and returns them with the revision up to which they are complete.
 	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (Page, error)
-	// Commit applies a transaction and returns its revision, or ErrConflict with
-	// the current items of its conditions.
+	// Commit applies a transaction and returns its revision, ErrConflict with the
+	// current items of its conditions, or ErrRejected.
 	Commit(ctx context.Context, t Transaction) (int64, []Item, error)
 	// GrantLease creates a lease that expires after ttl without renewal.
 	GrantLease(ctx context.Context, ttl time.Duration) (int64, error)
--- a/edge/host.go
+++ b/edge/host.go
@@ -410,7 +410,7 @@
 			return
 		case e := <-h.writes:
 			began := time.Now()
-			err := h.writer.write(h.ctx, e)
+			rejected, err := h.writer.write(h.ctx, e)
 			h.metrics.recordCall("store", outcomeLabel(err), time.Since(began))
 			if err != nil {
 				if errors.Is(err, errDeposed) {
@@ -418,7 +418,7 @@
 				}
 				return
 			}
-			h.send(cell.Written{Write: e.Number})
+			h.send(cell.Written{Write: e.Number, Rejected: rejected})
 		}
 	}
 }
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -362,7 +362,8 @@
 func (r *Relay) serveRelayed(w http.ResponseWriter, req *http.Request) {
 	var c core.StoreCall
 	if err := json.NewDecoder(req.Body).Decode(&c); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+		// A status of 4xx would be taken as the store's answer.
+		http.Error(w, err.Error(), http.StatusBadGateway)
 		return
 	}
 	if r.isDirectDown() {
--- a/edge/writer.go
+++ b/edge/writer.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"hash/fnv"
+	"slices"
 	"strconv"
 	"time"
 
@@ -83,12 +84,23 @@
 
 // change is what has to be stored together: the entries of one job, or one other record.
 type change struct {
+	// job is the job's id, empty for any other record.
+	job    string
 	puts   []core.Put
 	remove []string
 }
 
 func (c *change) entries() int { return len(c.puts) + len(c.remove) }
 
+// keys returns the keys that the change writes or removes.
+func (c *change) keys() []string {
+	keys := slices.Clone(c.remove)
+	for _, p := range c.puts {
+		keys = append(keys, p.Key)
+	}
+	return keys
+}
+
 // valueBytes returns the size of the values of puts.
 func valueBytes(puts []core.Put) int {
 	n := 0
@@ -98,8 +110,9 @@
 	return n
 }
 
-// write stores a write, all lanes at the same time.
-func (w *writer) write(ctx context.Context, e cell.Write) error {
+// write stores a write, all lanes at the same time. It returns the ids of the jobs whose
+// records the store rejects; everything else is stored.
+func (w *writer) write(ctx context.Context, e cell.Write) (rejected []string, err error) {
 	var lanes [writerLanes][]*change
 	jobs := map[string]*change{}
 	opened, ended := map[string]bool{}, map[string]bool{}
@@ -114,7 +127,7 @@
 			if jobs[r.Name] != nil {
 				c = jobs[r.Name]
 			}
-			jobs[r.Name] = c
+			c.job, jobs[r.Name] = r.Name, c
 		}
 		if c.entries() == 0 {
 			i := laneOf(r.Kind, r.Name)
@@ -137,7 +150,13 @@
 		i := laneOf(cell.JobRecord, id)
 		lanes[i] = append(lanes[i], &change{remove: []string{prefixJob + id, prefixProgress + id}})
 	}
-	return w.writeLanes(ctx, lanes)
+	unstored, err := w.writeLanes(ctx, lanes)
+	for _, c := range unstored {
+		if c.job != "" {
+			rejected = append(rejected, c.job)
+		}
+	}
+	return rejected, err
 }
 
 // updateIndex adds jobs to the index of the open ones, or removes jobs from it.
@@ -151,48 +170,92 @@
 		i := laneOf(cell.JobRecord, id)
 		lanes[i] = append(lanes[i], &change{remove: []string{prefixOpen + id}})
 	}
-	return w.writeLanes(ctx, lanes)
+	_, err := w.writeLanes(ctx, lanes)
+	return err
 }
 
 // completeIndex records that the index lists all open jobs.
 func (w *writer) completeIndex(ctx context.Context) error {
 	record := openIndexRecord{Generation: w.lanes[0].sequence.Generation}
-	return w.commit(ctx, 0, []core.Put{{Key: keyOpenIndex, Value: mustEncode(record)}}, nil)
+	_, err := w.writeLanes(ctx, [writerLanes][]*change{{{puts: []core.Put{{Key: keyOpenIndex, Value: mustEncode(record)}}}}})
+	return err
 }
 
-// writeLanes stores the changes of all lanes at the same time.
-func (w *writer) writeLanes(ctx context.Context, lanes [writerLanes][]*change) error {
-	results := make(chan error, writerLanes)
+// writeLanes stores the changes of all lanes at the same time, and returns those that the
+// store rejects.
+func (w *writer) writeLanes(ctx context.Context, lanes [writerLanes][]*change) ([]*change, error) {
+	type result struct {
+		rejected []*change
+		err      error
+	}
+	results := make(chan result, writerLanes)
 	for i := range lanes {
 		go func() {
-			results <- guard(w.log, "write to the store", func() error { return w.writeLane(ctx, i, lanes[i]) })
+			var r result
+			r.err = guard(w.log, "write to the store", func() (err error) {
+				r.rejected, err = w.writeLane(ctx, i, lanes[i])
+				return err
+			})
+			results <- r
 		}()
 	}
+	var rejected []*change
 	var failed error
 	for range lanes {
-		if err := <-results; err != nil && !errors.Is(failed, errDeposed) {
-			failed = err
+		r := <-results
+		rejected = append(rejected, r.rejected...)
+		if r.err != nil && !errors.Is(failed, errDeposed) {
+			failed = r.err
 		}
 	}
-	return failed
+	return rejected, failed
 }
 
 // writeLane stores the changes of one lane in order, in several transactions if they are
-// large, and each change in one.
-func (w *writer) writeLane(ctx context.Context, i int, changes []*change) error {
+// large, and each change in one. It returns the changes that the store rejects.
+func (w *writer) writeLane(ctx context.Context, i int, changes []*change) (rejected []*change, err error) {
 	for len(changes) > 0 {
-		var puts []core.Put
-		var remove []string
 		n := countFitting(changes)
-		for _, c := range changes[:n] {
-			puts, remove = append(puts, c.puts...), append(remove, c.remove...)
+		err := w.commitChanges(ctx, i, changes[:n])
+		if errors.Is(err, core.ErrRejected) {
+			// One of them must not hold up the others.
+			var alone []*change
+			alone, err = w.writeEach(ctx, i, changes[:n])
+			rejected = append(rejected, alone...)
 		}
-		if err := w.commit(ctx, i, puts, remove); err != nil {
-			return err
+		if err != nil {
+			return rejected, err
 		}
 		changes = changes[n:]
 	}
-	return nil
+	return rejected, nil
+}
+
+// writeEach stores each change in a transaction of its own, and returns those that the
+// store rejects.
+func (w *writer) writeEach(ctx context.Context, i int, changes []*change) (rejected []*change, err error) {
+	for _, c := range changes {
+		err := w.commitChanges(ctx, i, []*change{c})
+		if errors.Is(err, core.ErrRejected) {
+			rejected = append(rejected, c)
+			w.log.Event(event.WriteRejected, zap.Strings("keys", c.keys()), zap.Int("value_bytes", valueBytes(c.puts)), zap.Error(err))
+			continue
+		}
+		if err != nil {
+			return rejected, err
+		}
+	}
+	return rejected, nil
+}
+
+// commitChanges stores changes in one transaction of a lane.
+func (w *writer) commitChanges(ctx context.Context, i int, changes []*change) error {
+	var puts []core.Put
+	var remove []string
+	for _, c := range changes {
+		puts, remove = append(puts, c.puts...), append(remove, c.remove...)
+	}
+	return w.commit(ctx, i, puts, remove)
 }
 
 // countFitting returns how many of the changes fit into one transaction.
@@ -208,8 +271,8 @@
 	return len(changes)
 }
 
-// commit repeats a transaction of a lane until it is known to be done once. A
-// transaction without an answer cannot take effect after its repetition has, since each
+// commit repeats a transaction of a lane until it is known to be done once, or the store
+// rejects it. A transaction without an answer cannot take effect after its repetition has, since each
 // expects the sequence record before it.
 func (w *writer) commit(ctx context.Context, i int, puts []core.Put, remove []string) error {
 	l := &w.lanes[i]
@@ -228,7 +291,7 @@
 		case err == nil:
 			l.sequence, l.revision = next, revision
 			return nil
-		case errors.Is(err, errDeposed):
+		case errors.Is(err, errDeposed), errors.Is(err, core.ErrRejected):
 			return err
 		}
 		w.log.Event(event.WriteUnanswered, zap.Int("lane", i), zap.Int64("number", next.Number), zap.Error(err))
--- a/edge/writer_test.go
+++ b/edge/writer_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -27,7 +28,9 @@
 	commits  int
 	// delayed holds a transaction that is carried out after the next one.
 	delayed *core.Transaction
-	mu      sync.Mutex
+	// maxValueBytes is the largest value that it takes, zero for no limit.
+	maxValueBytes int
+	mu            sync.Mutex
 }
 
 // commitOutcome is what happens to a commit.
@@ -45,9 +48,17 @@
 	refused
 )
 
+// rejects reports whether the store takes a transaction for malformed.
+func (s *fakeStore) rejects(t core.Transaction) bool {
+	return slices.ContainsFunc(t.Puts, func(p core.Put) bool { return s.maxValueBytes > 0 && len(p.Value) > s.maxValueBytes })
+}
+
 func (s *fakeStore) Commit(_ context.Context, t core.Transaction) (int64, []core.Item, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.rejects(t) {
+		return 0, nil, fmt.Errorf("commit: %w: status 413", core.ErrRejected)
+	}
 	outcome := answered
 	if s.commits < len(s.outcomes) {
 		outcome = s.outcomes[s.commits]
@@ -123,6 +134,15 @@
 	return s, s.claim(t)
 }
 
+// writeAll stores a write, and returns an error if the store rejects a record of it.
+func writeAll(w *writer, e cell.Write) error {
+	rejected, err := w.write(context.Background(), e)
+	if err == nil && len(rejected) > 0 {
+		return fmt.Errorf("%w: %v", core.ErrRejected, rejected)
+	}
+	return err
+}
+
 // TestWritesAreCommittedOnceInOrder checks each way in which the answer to a commit
 // can get lost.
 func TestWritesAreCommittedOnceInOrder(t *testing.T) {
@@ -138,7 +158,7 @@
 			s, w := newTestWriter(t, outcomes...)
 			for n := range 4 {
 				state := job.Progress{State: job.Running, EndedMs: int64(n)}
-				require.NoError(t, w.write(context.Background(), cell.Write{Puts: []cell.Record{{Kind: cell.ProgressRecord, Name: "a", Value: state}}}))
+				require.NoError(t, writeAll(w, cell.Write{Puts: []cell.Record{{Kind: cell.ProgressRecord, Name: "a", Value: state}}}))
 				require.Equal(t, mustEncode(state), s.items[prefixProgress+"a"].Value, "write %d was overwritten by an earlier one", n)
 			}
 			require.Equal(t, int64(1+4), s.revision, "the claim and each write are carried out once")
@@ -146,6 +166,35 @@
 	}
 }
 
+// TestRejectedRecordHoldsUpNoOther guards against a writer that repeats a transaction which the
+// store rejects, so that nothing else is ever stored (review case 2).
+func TestRejectedRecordHoldsUpNoOther(t *testing.T) {
+	s, w := newTestWriter(t)
+	s.maxValueBytes = 1000
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	large := job.Progress{State: job.Running, Tasks: make([]job.TaskProgress, 1000)}
+	for round := range 2 {
+		var e cell.Write
+		for i := range 40 {
+			p := job.Progress{State: job.Running, EndedMs: int64(round)}
+			if i == 7 {
+				p = large
+			}
+			e.Puts = append(e.Puts, cell.Record{Kind: cell.ProgressRecord, Name: fmt.Sprint(i), Value: p})
+		}
+		rejected, err := w.write(ctx, e)
+		require.NoError(t, err)
+		require.Equal(t, []string{"7"}, rejected)
+		for i := range 40 {
+			if i != 7 {
+				require.Equal(t, mustEncode(e.Puts[i].Value), s.items[prefixProgress+fmt.Sprint(i)].Value)
+			}
+		}
+		require.NotContains(t, s.items, prefixProgress+"7")
+	}
+}
+
 // TestWriteFailsAfterAnotherOwnerHasWritten lets another owner claim between two
 // writes, and checks that the second changes nothing.
 func TestWriteFailsAfterAnotherOwnerHasWritten(t *testing.T) {
@@ -153,13 +202,13 @@
 		t.Run(name, func(t *testing.T) {
 			s, w := newTestWriter(t, outcomes...)
 			put := cell.Write{Puts: []cell.Record{{Kind: cell.ProgressRecord, Name: "a", Value: job.Progress{State: job.Running}}}}
-			require.NoError(t, w.write(context.Background(), put))
+			require.NoError(t, writeAll(w, put))
 			next := s.claim(t)
 			put.Puts[0].Value = job.Progress{State: job.Failed}
-			require.ErrorIs(t, w.write(context.Background(), put), errDeposed)
+			require.ErrorIs(t, writeAll(w, put), errDeposed)
 			require.NotContains(t, string(s.items[prefixProgress+"a"].Value), job.Failed)
 			put.Puts[0].Value = job.Progress{State: job.Succeeded}
-			require.NoError(t, next.write(context.Background(), put), "the next owner writes on")
+			require.NoError(t, writeAll(next, put), "the next owner writes on")
 		})
 	}
 }
@@ -176,7 +225,7 @@
 	largest := 0
 	limited := &sizeRecordingStore{fakeStore: s, largest: &largest}
 	w.store = limited
-	require.NoError(t, w.write(context.Background(), e))
+	require.NoError(t, writeAll(w, e))
 	require.LessOrEqual(t, largest, 32)
 	records := 0
 	for key := range s.items {
@@ -202,7 +251,7 @@
 	}
 	split := &transactionRecordingStore{fakeStore: s}
 	w.store = split
-	require.NoError(t, w.write(t.Context(), e))
+	require.NoError(t, writeAll(w, e))
 	for _, transaction := range split.transactions {
 		seen := map[string]int{}
 		for _, p := range transaction.Puts[1:] {
@@ -244,7 +293,7 @@
 					if i == writes-1 {
 						w.store = &crashingStore{s, crash}
 					}
-					_ = w.write(ctx, e)
+					_, _ = w.write(ctx, e)
 					crash()
 				}
 				requireIndexed(t, s, id)
@@ -302,7 +351,7 @@
 func TestRemovalTakesJobSubmittedAnew(t *testing.T) {
 	s, w := newTestWriter(t)
 	const id = "000000000000000a"
-	require.NoError(t, w.write(t.Context(), cell.Write{Remove: []string{id}, Puts: []cell.Record{
+	require.NoError(t, writeAll(w, cell.Write{Remove: []string{id}, Puts: []cell.Record{
 		{Kind: cell.JobRecord, Name: id, Value: job.Job{ID: id}}, {Kind: cell.ProgressRecord, Name: id, Value: job.Progress{State: job.Pending}},
 	}}))
 	require.Contains(t, s.items, prefixJob+id)
@@ -370,7 +419,7 @@
 	require.Len(t, lanes, writerLanes)
 	slow.others.Add(writerLanes - 1)
 	done := make(chan error, 1)
-	go func() { done <- w.write(t.Context(), e) }()
+	go func() { done <- writeAll(w, e) }()
 	slow.others.Wait()
 	require.Empty(t, done)
 	close(slow.release)
