Let the fake executor forget every end up to the acknowledged number

Cause: a renewal to an earlier incarnation that is carried out late by the next one raised the number up to which the fake executor took ends as acknowledged. Ends with lower numbers were then listed for ever; with short lists that hid the ends behind them, and TestRandomFaultsKeepInvariantsOfShortLists failed in 3,000 plays ("has nothing running while ... waits"; renewals acknowledge 2, the list still begins with 1).

The check is as strict: it still notes each end that an acknowledgement reaches.

--- a/core/cell/fake_executor_test.go
+++ b/core/cell/fake_executor_test.go
@@ -49,7 +49,6 @@
 	highestEndedRun map[string]int
 	ended           []fleet.EndedRun
 	lastEnd         int64
-	ackedEnd        int64
 	// voidedEnd is the number up to which ended runs no longer count.
 	voidedEnd int64
 	// unreachable is true while the executor answers no call.
@@ -251,18 +250,15 @@
 		require.LessOrEqual(w.t, o.DeadlineMs-clock, testMaxRenewalGap.Milliseconds(), "the granted deadline exceeds MaxRenewalGap")
 	}
 	x.deadline = max(x.deadline, min(o.DeadlineMs, clock+testMaxRenewalGap.Milliseconds()))
-	if o.Acknowledged > x.ackedEnd {
-		x.ackedEnd = o.Acknowledged
-		x.ended = slices.DeleteFunc(x.ended, func(e fleet.EndedRun) bool {
-			if e.Number > x.ackedEnd {
-				return false
-			}
-			if e.End == fleet.EndDone && e.Number > x.voidedEnd {
-				w.acknowledged[e.Task] = true
-			}
-			return true
-		})
-	}
+	x.ended = slices.DeleteFunc(x.ended, func(e fleet.EndedRun) bool {
+		if e.Number > o.Acknowledged {
+			return false
+		}
+		if e.End == fleet.EndDone && e.Number > x.voidedEnd {
+			w.acknowledged[e.Task] = true
+		}
+		return true
+	})
 	for _, task := range slices.Sorted(maps.Keys(x.runs)) {
 		s.Active = append(s.Active, fleet.ActiveRun{Task: task, Run: x.runs[task].run, Percent: x.runs[task].percent(w.now), Load: x.loads[task]})
 	}
--- a/core/cell/vms_test.go
+++ b/core/cell/vms_test.go
@@ -90,7 +90,7 @@
 	}
 	clear(x.runs)
 	clear(x.highestEndedRun)
-	x.ended, x.lastEnd, x.ackedEnd, x.voidedEnd, x.token, x.deadline = nil, 0, 0, 0, 0, 0
+	x.ended, x.lastEnd, x.voidedEnd, x.token, x.deadline = nil, 0, 0, 0, 0
 	w.setVM(x.ID, fleet.VMDown)
 }
 
