Store the progress of large jobs in parts, a bit for each done task

Cause: a line of some 38 bytes for each ended task, for ever, in one value that is written whole each time.

Change: the progress of a job of more than 256 tasks lies in parts of 256 tasks: a bit for each done task, a line for each other that has a run that ended. Only parts that changed are written; they are removed with the job. Checkpoints with which a record might not fit are left out of it. The earlier form is read and replaced; an earlier build cannot decode the new one and does not run the job. A takeover divides reads whose answer is too large.

Ruled out: few tasks with long entries (1,037,917 bytes at some 27,000 ended tasks).

--- a/commands/edge.go
+++ b/commands/edge.go
@@ -70,6 +70,7 @@
 	store.SendCall = relay.SendCall
 	kernelSettings := settings.Bounds.KernelSettings()
 	kernelSettings.VMOrdersPerS = settings.CloudAPI.DutyPerS
+	kernelSettings.MaxRecordBytes = settings.Platform.ValueBytes
 	slowLink := settings.Limits.LinkMbps > 0 && settings.Limits.LinkMbps < slowLinkMbps
 	if slowLink {
 		kernelSettings.ListVMsInterval = slowListVMsInterval
--- a/core/cell/crash.go
+++ b/core/cell/crash.go
@@ -119,7 +119,7 @@
 func (k *Kernel) suspectTask(r *run) {
 	t, j := r.task(), r.step.job
 	r.step.suspected = true
-	k.holdUntilStored(t, j)
+	k.holdUntilStored(r.step, r.index)
 	if t.crashes.ShouldGiveUp() {
 		k.log(event.TaskGivenUp, "task", r.name, "run", r.number, "executor", r.executor.ID, "crashes", t.crashes)
 		k.endJob(j, job.Failed)
@@ -128,9 +128,10 @@
 
 // presumeCrash counts a start of a suspected task by the earlier owner, since no executor
 // has the run.
-func (k *Kernel) presumeCrash(s *stepRun, t *task) {
+func (k *Kernel) presumeCrash(s *stepRun, index int) {
+	t := &s.tasks[index]
 	t.crashes.PresumeCrash()
-	k.holdUntilStored(t, s.job)
+	k.holdUntilStored(s, index)
 	if t.crashes.ShouldGiveUp() && !s.job.state.IsFinal() {
 		k.log(event.TaskGivenUp, "job", s.job.ID, "step", s.index, "crashes", t.crashes)
 		k.endJob(s.job, job.Failed)
@@ -138,12 +139,13 @@
 }
 
 // holdUntilStored stores the crashes under a task and lets it wait for the write.
-func (k *Kernel) holdUntilStored(t *task, j *jobState) {
+func (k *Kernel) holdUntilStored(s *stepRun, index int) {
+	t := &s.tasks[index]
 	t.crashesWrite, t.crashHoldUntil = k.outbox.lastWrite+1, k.now.Monotonic+crashHoldLimit
 	if t.crashes.IsSuspect() {
 		t.crashHoldUntil = math.MaxInt64
 	}
-	k.markDirty(j)
+	k.markTaskDirty(s, index)
 }
 
 // isPlannedEnd reports whether an executor ended as announced or by an order for its VM.
@@ -381,7 +383,7 @@
 		}
 		if t.crashes.IsCleared(r.survived()) {
 			t.crashes = suspicion.Record{}
-			k.markDirty(r.step.job)
+			k.markTaskDirty(r.step, r.index)
 		}
 	}
 }
--- a/core/cell/event.go
+++ b/core/cell/event.go
@@ -139,6 +139,15 @@
 	State job.State
 	// EndedMs is the Unix time of the end in milliseconds.
 	EndedMs int64
+	// Parts is the number of parts of its stored progress.
+	Parts int
+}
+
+// RemovedJob is a job whose records are no longer needed.
+type RemovedJob struct {
+	ID string
+	// Parts is the number of parts of its stored progress.
+	Parts int
 }
 
 // The effects that Kernel.Step returns.
@@ -156,7 +165,7 @@
 		Number int64
 		Puts   []Record
 		// Remove lists jobs whose records are no longer needed.
-		Remove []string
+		Remove []RemovedJob
 	}
 	// Reply answers a waiting caller.
 	Reply struct {
@@ -211,7 +220,9 @@
 const (
 	JobRecord      RecordKind = "job"
 	ProgressRecord RecordKind = "progress"
-	WaveRecord     RecordKind = "wave"
+	// ProgressPartRecord is a part of the progress of a job with many tasks.
+	ProgressPartRecord RecordKind = "progress_part"
+	WaveRecord         RecordKind = "wave"
 	// WaveStatusRecord is the record that shows operators the state of a wave.
 	WaveStatusRecord RecordKind = "wave_status"
 	// VMOrdersRecord is the record of the VMs for which orders were recently sent.
@@ -220,8 +231,10 @@
 
 // Record is a value to be stored under a kind and a name.
 type Record struct {
-	Kind  RecordKind
-	Name  string
+	Kind RecordKind
+	Name string
+	// Part is the number of a ProgressPartRecord within its job.
+	Part  int
 	Value any
 }
 
--- a/core/cell/kernel.go
+++ b/core/cell/kernel.go
@@ -38,6 +38,12 @@
 	// ListVMsInterval is the time between two reads of the list of VMs while orders are
 	// in progress, zero for the default.
 	ListVMsInterval time.Duration
+	// PartTasks is the number of tasks whose progress one record holds, zero for
+	// job.DefaultPartTasks.
+	PartTasks int
+	// MaxRecordBytes is the size of the largest value that the store takes, zero if it is
+	// not known.
+	MaxRecordBytes int
 }
 
 // Timing of deadlines, writes and stops.
@@ -346,6 +352,6 @@
 			continue
 		}
 		delete(k.jobs, id)
-		k.outbox.removedJobs = append(k.outbox.removedJobs, id)
+		k.outbox.removedJobs = append(k.outbox.removedJobs, RemovedJob{id, j.parts})
 	}
 }
--- a/core/cell/outbox.go
+++ b/core/cell/outbox.go
@@ -7,7 +7,6 @@
 
 	"jacinthwind/core/event"
 	"jacinthwind/core/job"
-	"jacinthwind/core/suspicion"
 )
 
 // outbox collects the changes to be stored, and the actions that wait for their
@@ -15,7 +14,7 @@
 type outbox struct {
 	dirty       map[string]*jobState
 	records     map[string]Record
-	removedJobs []string
+	removedJobs []RemovedJob
 	acks        []ack
 	// vmOrders lists the VMs whose orders wait for their record.
 	vmOrders []string
@@ -40,12 +39,6 @@
 	number    int64
 }
 
-// markDirty marks a job's progress for the next write.
-func (k *Kernel) markDirty(j *jobState) {
-	j.dirty = true
-	k.outbox.dirty[j.ID] = j
-}
-
 // flushOutbox sends all changes since the last write as one write.
 func (k *Kernel) flushOutbox() {
 	o := &k.outbox
@@ -66,14 +59,7 @@
 	for _, id := range slices.Sorted(maps.Keys(o.dirty)) {
 		j := o.dirty[id]
 		j.dirty = false
-		switch {
-		case j.state.IsFinal():
-			// The next owner reads the records of all jobs before it can serve.
-			w.Puts = append(w.Puts, Record{JobRecord, id, j.Ended()})
-		case !j.stored:
-			w.Puts = append(w.Puts, Record{JobRecord, id, j.Job})
-		}
-		w.Puts = append(w.Puts, Record{ProgressRecord, id, j.storedProgress()})
+		w.Puts = append(w.Puts, k.jobRecords(j)...)
 		o.inFlightBatch.jobs = append(o.inFlightBatch.jobs, j)
 	}
 	for _, name := range slices.Sorted(maps.Keys(o.records)) {
@@ -196,34 +182,6 @@
 	}
 }
 
-// storedProgress returns the progress of a job in its stored form.
-func (j *jobState) storedProgress() job.Progress {
-	p := job.Progress{State: j.state, EndedMs: j.endedMs}
-	if j.state.IsFinal() {
-		return p
-	}
-	for _, s := range j.steps {
-		for i := range s.tasks {
-			t := &s.tasks[i]
-			suspected := t.crashes != suspicion.Record{} && t.state != taskDone
-			if !t.anyRunEnded && !suspected {
-				continue
-			}
-			tp := job.TaskProgress{
-				Occurrence: s.occurrence, Step: s.index, Index: i,
-				Done: t.state == taskDone, Failed: t.failedRuns, Run: t.highestEndedRun, Checkpoint: t.checkpoint,
-			}
-			if suspected {
-				// A copy, since the record is encoded after later crashes.
-				crashes := t.crashes
-				tp.Crashes = &crashes
-			}
-			p.Tasks = append(p.Tasks, tp)
-		}
-	}
-	return p
-}
-
 // IsAllStored reports whether all changes are stored.
 func (k *Kernel) IsAllStored() bool {
 	o := &k.outbox
--- a/core/cell/random_test.go
+++ b/core/cell/random_test.go
@@ -20,21 +20,29 @@
 // twice, that no executor exceeds its capacity, and that no task starts after its end
 // was acknowledged. In the end all accepted jobs must be done.
 func TestRandomFaultsKeepInvariants(t *testing.T) {
-	playRandomFaults(t, 0)
+	playRandomFaults(t, func(*world) {})
 }
 
 // TestRandomFaultsKeepInvariantsOfShortLists guards against taking runs as lost whose ends
 // the executor has not listed yet (review case 1).
 func TestRandomFaultsKeepInvariantsOfShortLists(t *testing.T) {
-	playRandomFaults(t, 2)
+	playRandomFaults(t, func(w *world) { w.maxListedEnds = 2 })
 }
 
-// playRandomFaults plays random faults on executors that list at most maxListedEnds ends
-// at a time, zero for no limit.
-func playRandomFaults(t *testing.T, maxListedEnds int) {
+// TestRandomFaultsKeepInvariantsOfParts guards against progress that is lost between the parts
+// in which that of a large job is stored (review case 2).
+func TestRandomFaultsKeepInvariantsOfParts(t *testing.T) {
+	playRandomFaults(t, func(w *world) {
+		w.partTasks = 2
+		w.replaceOwner()
+	})
+}
+
+// playRandomFaults plays random faults in a world that was prepared.
+func playRandomFaults(t *testing.T, prepare func(*world)) {
 	rapid.Check(t, func(t *rapid.T) {
 		r := &randomWorld{T: t, world: newWorld(t, rapid.IntRange(1, 5).Draw(t, "executors"))}
-		r.maxListedEnds = maxListedEnds
+		prepare(r.world)
 		r.watchRandomWaits()
 		r.advance(time.Second)
 		seed := rapid.Uint64().Draw(t, "outcomes")
--- a/core/cell/recover.go
+++ b/core/cell/recover.go
@@ -35,6 +35,12 @@
 			k.subtractWork(s)
 		}
 	}
+	if j.parts > 0 && p.Parts == 0 {
+		// The next write replaces a record that holds all tasks.
+		for n := range j.parts {
+			j.markPartDirty(n)
+		}
+	}
 	if p.State == job.Running || len(p.Tasks) > 0 {
 		k.markStarted(j)
 	}
@@ -76,7 +82,7 @@
 		case e.State.IsFinal():
 			k.jobs[e.ID] = &jobState{
 				Job: &job.Job{ID: e.ID}, state: e.State, visibleState: e.State, stored: true, started: true,
-				endedMs: e.EndedMs, arrivedAt: k.now.Monotonic,
+				endedMs: e.EndedMs, arrivedAt: k.now.Monotonic, parts: e.Parts,
 			}
 		case e.State == "":
 			k.LoadUnreadableJob(e.ID)
@@ -113,7 +119,7 @@
 				uncertain++
 				if t.crashes != (suspicion.Record{}) {
 					// The earlier owner has probably started it, and no executor has it.
-					k.presumeCrash(s, t)
+					k.presumeCrash(s, i)
 				}
 			}
 		}
--- a/core/cell/runs.go
+++ b/core/cell/runs.go
@@ -208,7 +208,7 @@
 	if s.failureCount(index) >= s.job.maxAttempts() {
 		k.failJob(s, index)
 	}
-	k.markDirty(s.job)
+	k.markTaskDirty(s, index)
 }
 
 // failureCount returns how often a task has failed. For a gang it counts the
@@ -275,7 +275,7 @@
 	default:
 		k.requeueTask(s, index)
 	}
-	k.markDirty(j)
+	k.markTaskDirty(s, index)
 }
 
 // completeTask marks a task as done, and its step and job if it was their last.
@@ -339,6 +339,7 @@
 		t.state, t.anyRunEnded = taskDone, true
 		s.doneTasks++
 		k.subtractWork(s)
+		k.markTaskDirty(s, i)
 	}
 }
 
--- a/core/cell/state.go
+++ b/core/cell/state.go
@@ -34,8 +34,12 @@
 	remainingWork int64
 	queue         *fleet.Queue
 	dirty         bool
-	cancelCalls   []CallID
-	submitCalls   []CallID
+	// partTasks is the number of tasks whose progress one of the parts holds, zero if all
+	// is stored in one record. dirtyParts holds the numbers of those that have changed.
+	partTasks, parts int
+	dirtyParts       map[int]bool
+	cancelCalls      []CallID
+	submitCalls      []CallID
 }
 
 // stepRun is one step of one occurrence of a job.
@@ -45,6 +49,8 @@
 	index      int
 	*job.Step
 	tasks []task
+	// firstTask is the number of the first task among all tasks of the job.
+	firstTask int
 	// pendingDependencies counts the earlier steps that are not done.
 	pendingDependencies int
 	waitingTasks        int
--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -265,14 +266,20 @@
 	j.due = j.arrivedAt + objective
 	k.jobs[spec.ID] = j
 	if p.State.IsFinal() {
-		j.stored, j.started = true, true
+		j.stored, j.started, j.parts = true, true, p.Parts
 		return j
 	}
+	j.partTasks = cmp.Or(p.PartTasks, k.PartTasks, job.DefaultPartTasks)
+	if j.parts = spec.PartCount(j.partTasks); j.parts == 0 {
+		j.partTasks = 0
+	}
 	paths := criticalPaths(spec)
+	firstTask := 0
 	for occ := range spec.Occurrences() {
 		first := len(j.steps)
 		for i := range spec.Steps {
-			s := &stepRun{job: j, occurrence: occ, index: i, Step: &spec.Steps[i], criticalPath: paths[i], due: j.due}
+			s := &stepRun{job: j, occurrence: occ, index: i, Step: &spec.Steps[i], criticalPath: paths[i], due: j.due, firstTask: firstTask}
+			firstTask += s.Count
 			s.tasks = make([]task, s.Count)
 			s.waitingTasks = s.Count
 			if spec.OccurrenceCount > 0 {
--- a/core/cell/vm_order.go
+++ b/core/cell/vm_order.go
@@ -136,7 +136,7 @@
 		}
 		record.VMs = append(record.VMs, name)
 	}
-	return Record{VMOrdersRecord, "recent", record}
+	return Record{Kind: VMOrdersRecord, Name: "recent", Value: record}
 }
 
 // sendVMOrder sends an order, or drops it if the lease no longer proves the
--- a/core/cell/wave.go
+++ b/core/cell/wave.go
@@ -349,7 +349,7 @@
 func (k *Kernel) markVMDone(w *wave, name string) {
 	w.doneVMs[name] = true
 	n := strconv.Itoa(w.Number)
-	k.outbox.records["wave/"+n] = Record{WaveRecord, n, WaveProgress{Done: slices.Sorted(maps.Keys(w.doneVMs))}}
+	k.outbox.records["wave/"+n] = Record{Kind: WaveRecord, Name: n, Value: WaveProgress{Done: slices.Sorted(maps.Keys(w.doneVMs))}}
 }
 
 // reportWaveStatus stores a wave's status for operators if it changed.
@@ -359,5 +359,5 @@
 	}
 	w.reportedStatus = status
 	n := strconv.Itoa(w.Number)
-	k.outbox.records["status/"+n] = Record{WaveStatusRecord, n, status}
+	k.outbox.records["status/"+n] = Record{Kind: WaveStatusRecord, Name: n, Value: status}
 }
--- a/core/cell/world_jobs_test.go
+++ b/core/cell/world_jobs_test.go
@@ -26,7 +26,12 @@
 		w.heldWrites = append(w.heldWrites, e)
 		return
 	}
-	w.removed = append(w.removed, e.Remove...)
+	for _, removed := range e.Remove {
+		w.removed = append(w.removed, removed.ID)
+		for n := range removed.Parts {
+			delete(w.parts[removed.ID], n)
+		}
+	}
 	rejected := w.rejectedJobs(e)
 	for _, r := range e.Puts {
 		if slices.Contains(rejected, r.Name) {
@@ -50,11 +55,41 @@
 			var p job.Progress
 			require.NoError(w.t, json.Unmarshal(data, &p))
 			w.stored[r.Name] = p
+			w.countBytes(len(data))
+		case cell.ProgressPartRecord:
+			var part job.ProgressPart
+			require.NoError(w.t, json.Unmarshal(data, &part))
+			if w.parts[r.Name] == nil {
+				w.parts[r.Name] = map[int]job.ProgressPart{}
+			}
+			w.parts[r.Name][r.Part] = part
+			w.countBytes(len(data))
 		}
 	}
 	w.step(cell.Written{Write: e.Number, Rejected: rejected})
 }
 
+// countBytes counts the bytes of a record of progress.
+func (w *world) countBytes(n int) {
+	w.progressBytes += n
+	w.largestProgress = max(w.largestProgress, n)
+}
+
+// loadProgress returns the stored progress of a job with its parts, as the host passes it to
+// an owner.
+func (w *world) loadProgress(j *job.Job) job.Progress {
+	p := w.stored[j.ID]
+	if p.State.IsFinal() {
+		return p
+	}
+	for n := range p.Parts {
+		if part, ok := w.parts[j.ID][n]; ok {
+			p.AddPart(j, n, part)
+		}
+	}
+	return p
+}
+
 // rejectedJobs returns the jobs of a write with a record that the store rejects.
 func (w *world) rejectedJobs(e cell.Write) []string {
 	var rejected []string
--- a/core/cell/world_test.go
+++ b/core/cell/world_test.go
@@ -107,6 +107,12 @@
 	disturbedAt time.Duration
 	// guardsRoom makes executors refuse what exceeds their room, like those of some pools.
 	guardsRoom bool
+	// parts holds the parts of the stored progress by job, progressBytes is the size of all
+	// records of progress that were written, and largestProgress that of the largest.
+	parts                          map[string]map[int]job.ProgressPart
+	progressBytes, largestProgress int
+	// partTasks is the size of these parts, zero for the default.
+	partTasks int
 	// rejects reports whether the store rejects a record; it is nil if it takes all.
 	rejects func(cell.Record) bool
 	// maxListedEnds is how many ends an executor lists in one answer, zero for no limit.
@@ -133,7 +139,7 @@
 func newWorld(t require.TestingT, executors int) *world {
 	w := &world{
 		t: t, now: time.Hour, alive: map[*cell.Kernel]bool{}, executors: map[string]*fakeExecutor{}, specs: map[string]*job.Job{}, records: map[string]*job.Job{},
-		stored: map[string]job.Progress{}, accepted: map[string]bool{}, verdicts: map[cell.CallID]cell.Answer{},
+		stored: map[string]job.Progress{}, parts: map[string]map[int]job.ProgressPart{}, accepted: map[string]bool{}, verdicts: map[cell.CallID]cell.Answer{},
 		acknowledged: map[string]bool{}, starts: map[string]int{},
 		throttlePercents: map[string]int{}, maintainedVMs: map[string]bool{}, moveOrdered: map[string]bool{}, maintenanceOrdered: map[string]bool{}, lastOrder: map[string]vmOrdered{},
 		lostUnder:     map[string]int{},
@@ -182,7 +188,7 @@
 	w.disturbedAt = w.now
 	w.token += 10
 	w.heldWrites = nil
-	w.kernel = cell.New(cell.Settings{MaxRenewalGap: testMaxRenewalGap, MaxStopDuration: testMaxStopDuration, VMOrderLease: testVMOrderLease, EndedJobRetention: time.Minute, MaintenanceDuration: 2 * time.Second, MoveDuration: 1500 * time.Millisecond, OffRackFactor: 3},
+	w.kernel = cell.New(cell.Settings{MaxRenewalGap: testMaxRenewalGap, MaxStopDuration: testMaxStopDuration, VMOrderLease: testVMOrderLease, EndedJobRetention: time.Minute, MaintenanceDuration: 2 * time.Second, MoveDuration: 1500 * time.Millisecond, OffRackFactor: 3, PartTasks: w.partTasks},
 		w.clock(), w.token, w.ownerCount*100_000)
 	w.ownerCount++
 	w.alive[w.kernel] = true
@@ -194,7 +200,7 @@
 			continue
 		}
 		spec := *w.records[id]
-		w.kernel.LoadJob(&spec, w.stored[id])
+		w.kernel.LoadJob(&spec, w.loadProgress(&spec))
 	}
 	if w.endedUnloaded {
 		k := w.kernel
@@ -224,7 +230,7 @@
 	var jobs []cell.EndedJob
 	for _, id := range slices.Sorted(maps.Keys(w.stored)) {
 		if p := w.stored[id]; p.State.IsFinal() {
-			jobs = append(jobs, cell.EndedJob{ID: id, State: p.State, EndedMs: p.EndedMs})
+			jobs = append(jobs, cell.EndedJob{ID: id, State: p.State, EndedMs: p.EndedMs, Parts: p.Parts})
 		}
 	}
 	return jobs
@@ -234,7 +240,7 @@
 // host does while the ended jobs are not loaded.
 func (w *world) lookUpEnded(id string) {
 	if p := w.stored[id]; w.endedUnloaded && p.State.IsFinal() {
-		w.step(cell.EndedJobsLoaded{Jobs: []cell.EndedJob{{ID: id, State: p.State, EndedMs: p.EndedMs}}})
+		w.step(cell.EndedJobsLoaded{Jobs: []cell.EndedJob{{ID: id, State: p.State, EndedMs: p.EndedMs, Parts: p.Parts}}})
 	}
 }
 
--- a/edge/load_records.go
+++ b/edge/load_records.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -8,8 +9,11 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"jacinthwind/common/eventlog"
 	"jacinthwind/core"
@@ -21,7 +25,9 @@
 // storedRecords holds the records that earlier owners stored, by key.
 type storedRecords struct {
 	jobs, progress, waves map[string]core.Item
-	orders                core.Item
+	// parts holds the parts of the progress of open jobs, by job and key.
+	parts  map[string]map[string]core.Item
+	orders core.Item
 }
 
 // loadRecords loads records into a kernel. A record that cannot be read is skipped and
@@ -29,7 +35,7 @@
 func loadRecords(k *cell.Kernel, r storedRecords, log *eventlog.Log) {
 	for key, item := range r.jobs {
 		id := strings.TrimPrefix(key, prefixJob)
-		j, p, err := decodeJob(id, item, r.progress[prefixProgress+id])
+		j, p, err := decodeJob(id, item, r.progress[prefixProgress+id], r.parts[id])
 		if err != nil {
 			log.Event(event.RecordSkipped, zap.String("key", key), zap.Error(err))
 			k.LoadUnreadableJob(id)
@@ -56,8 +62,8 @@
 }
 
 // decodeJob decodes and checks a job and its progress; progress has no value if nothing
-// is stored.
-func decodeJob(id string, item, progress core.Item) (*job.Job, job.Progress, error) {
+// is stored, and parts has those that are stored.
+func decodeJob(id string, item, progress core.Item, parts map[string]core.Item) (*job.Job, job.Progress, error) {
 	p := job.Progress{State: job.Pending}
 	if len(progress.Value) > 0 {
 		if err := json.Unmarshal(progress.Value, &p); err != nil {
@@ -78,10 +84,57 @@
 		if err := j.Check(); err != nil {
 			return nil, p, fmt.Errorf("check job record %s: %w", item.Key, err)
 		}
+		if err := addParts(&j, &p, parts); err != nil {
+			return nil, p, err
+		}
 	}
 	return &j, p, nil
 }
 
+// addParts decodes the parts of a job's progress and adds them to it.
+func addParts(j *job.Job, p *job.Progress, parts map[string]core.Item) error {
+	if p.Parts > 0 && p.Parts != j.PartCount(p.PartTasks) {
+		return fmt.Errorf("check progress of job %s: %d parts of %d tasks", j.ID, p.Parts, p.PartTasks)
+	}
+	for n := range p.Parts {
+		item, ok := parts[partKey(j.ID, n)]
+		if !ok {
+			// Nothing of it has run.
+			continue
+		}
+		var part job.ProgressPart
+		if err := json.Unmarshal(item.Value, &part); err != nil {
+			return fmt.Errorf("decode part %s of the progress: %w", item.Key, err)
+		}
+		p.AddPart(j, n, part)
+	}
+	return nil
+}
+
+// readParts reads the parts of the progress of all open jobs that have them.
+func readParts(ctx context.Context, store core.MetadataStore, progress map[string]core.Item) (map[string]map[string]core.Item, error) {
+	var divided []string
+	for key, item := range progress {
+		var p job.Progress
+		if bytes.Contains(item.Value, partsField) && json.Unmarshal(item.Value, &p) == nil && p.Parts > 0 && !p.State.IsFinal() {
+			divided = append(divided, strings.TrimPrefix(key, prefixProgress))
+		}
+	}
+	parts := map[string]map[string]core.Item{}
+	var mu sync.Mutex
+	err := readEach(divided, func(id string) error {
+		items, _, err := readPrefix(ctx, store, prefixPart+id+"/")
+		mu.Lock()
+		defer mu.Unlock()
+		parts[id] = items
+		return err
+	})
+	return parts, err
+}
+
+// partsField is in every record of progress that has parts.
+var partsField = []byte(`"parts":`)
+
 // loadWave loads the record of a wave into a kernel.
 func loadWave(k *cell.Kernel, key string, item core.Item) error {
 	number, err := strconv.Atoi(strings.TrimPrefix(key, prefixWave))
@@ -147,6 +200,10 @@
 	if failed != nil {
 		return loadedJobs{}, failed
 	}
+	var err error
+	if r.parts, err = readParts(ctx, store, r.progress); err != nil {
+		return loadedJobs{}, err
+	}
 	loadRecords(k, r, log)
 	return compareIndex(k, r, index, indexed), nil
 }
@@ -176,55 +233,58 @@
 		id := strings.TrimPrefix(key, prefixOpen)
 		keys = append(keys, prefixJob+id, prefixProgress+id)
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	type result struct {
-		items []core.Item
-		err   error
-	}
-	slots, results, calls := make(chan struct{}, recordReaders), make(chan result), 0
-	for part := range slices.Chunk(keys, core.MaxGetMany) {
-		calls++
-		go func() {
-			slots <- struct{}{}
-			defer func() { <-slots }()
-			items, err := readKeys(ctx, store, part)
-			select {
-			case results <- result{items, err}:
-			case <-ctx.Done():
-			}
-		}()
-	}
 	jobs, progress = map[string]core.Item{}, map[string]core.Item{}
-	for range calls {
-		select {
-		case found := <-results:
-			if found.err != nil {
-				return nil, nil, found.err
+	var mu sync.Mutex
+	err = readEach(slices.Collect(slices.Chunk(keys, core.MaxGetMany)), func(part []string) error {
+		items, err := readKeys(ctx, store, part)
+		mu.Lock()
+		defer mu.Unlock()
+		for _, item := range items {
+			if strings.HasPrefix(item.Key, prefixJob) {
+				jobs[item.Key] = item
+			} else {
+				progress[item.Key] = item
 			}
-			for _, item := range found.items {
-				if strings.HasPrefix(item.Key, prefixJob) {
-					jobs[item.Key] = item
-				} else {
-					progress[item.Key] = item
-				}
-			}
-		case <-ctx.Done():
-			return nil, nil, ctx.Err()
 		}
+		return err
+	})
+	return jobs, progress, err
+}
+
+// readEach calls read with each of the keys, recordReaders at a time, and returns the first
+// error. It begins no further read after an error.
+func readEach[T any](keys []T, read func(T) error) error {
+	var g errgroup.Group
+	g.SetLimit(recordReaders)
+	var failed atomic.Bool
+	for _, key := range keys {
+		if failed.Load() {
+			break
+		}
+		g.Go(func() error {
+			err := read(key)
+			if err != nil {
+				failed.Store(true)
+			}
+			return err
+		})
 	}
-	return jobs, progress, nil
+	return g.Wait()
 }
 
 // readKeys reads the items of some keys. A read that fails is repeated, up to
-// maxPageAttempts times. Keys without an item are read once more, each by itself: a job is
-// forgotten if its record is.
+// maxPageAttempts times, and one whose answer cannot be decoded is divided: it may be too
+// large. Keys without an item are read once more, each by itself: a job is forgotten if its
+// record is.
 func readKeys(ctx context.Context, store core.MetadataStore, keys []string) ([]core.Item, error) {
 	items, err := store.GetMany(ctx, keys)
-	for attempt := 1; err != nil && attempt < maxPageAttempts && ctx.Err() == nil; attempt++ {
+	for attempt := 1; err != nil && !errors.Is(err, core.ErrUnreadable) && attempt < maxPageAttempts && ctx.Err() == nil; attempt++ {
 		sleep(ctx, watchRetryDelay)
 		items, err = store.GetMany(ctx, keys)
 	}
+	if errors.Is(err, core.ErrUnreadable) && len(keys) > 1 {
+		return readHalves(ctx, store, keys)
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -247,6 +307,16 @@
 	return items, nil
 }
 
+// readHalves reads the items of some keys in two parts.
+func readHalves(ctx context.Context, store core.MetadataStore, keys []string) ([]core.Item, error) {
+	first, err := readKeys(ctx, store, keys[:len(keys)/2])
+	if err != nil {
+		return nil, err
+	}
+	second, err := readKeys(ctx, store, keys[len(keys)/2:])
+	return append(first, second...), err
+}
+
 // readRecord reads a record; the key of the item is empty if there is none. A record may
 // be large, so it is read like a page.
 func readRecord(ctx context.Context, store core.MetadataStore, key string) (core.Item, error) {
@@ -263,6 +333,6 @@
 		log.Event(event.RecordSkipped, zap.String("key", item.Key), zap.Error(err))
 		return e
 	}
-	e.State, e.EndedMs = p.State, p.EndedMs
+	e.State, e.EndedMs, e.Parts = p.State, p.EndedMs, p.Parts
 	return e
 }
--- a/edge/load_records_test.go
+++ b/edge/load_records_test.go
@@ -1,6 +1,8 @@
 package edge
 
 import (
+	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -65,3 +67,96 @@
 	}
 	return mustEncode(v)
 }
+
+// listStore is a fakeStore that answers reads of many keys, up to a size.
+type listStore struct {
+	*fakeStore
+	maxAnswerBytes int
+}
+
+func (s *listStore) GetMany(_ context.Context, keys []string) ([]core.Item, error) {
+	var found []core.Item
+	size := 0
+	for _, key := range keys {
+		if item, ok := s.items[key]; ok {
+			found = append(found, item)
+			size += len(item.Value)
+		}
+	}
+	if s.maxAnswerBytes > 0 && size > s.maxAnswerBytes {
+		return nil, fmt.Errorf("%w: %w", core.ErrUnavailable, core.ErrUnreadable)
+	}
+	return found, nil
+}
+
+func (s *listStore) Get(_ context.Context, key string) (core.Item, error) {
+	item, ok := s.items[key]
+	if !ok {
+		return item, core.ErrNotFound
+	}
+	return item, nil
+}
+
+// TestPartsAreStoredReadAndRemoved guards against a next owner that finds a part of the progress
+// of a large job only, and against transactions with more entries than the store takes
+// (review case 2).
+func TestPartsAreStoredReadAndRemoved(t *testing.T) {
+	const id, partTasks, tasks = "000000000000000a", 256, 20_000
+	j := &job.Job{ID: id, Queue: "q", Pool: "p", Steps: []job.Step{{Count: tasks, Size: fleet.Vector{CPU: 100}}}, AcceptedMs: 5}
+	parts := j.PartCount(partTasks)
+	progress := job.Progress{State: job.Running, PartTasks: partTasks, Parts: parts}
+	e := cell.Write{Puts: []cell.Record{{Kind: cell.JobRecord, Name: id, Value: j}, {Kind: cell.ProgressRecord, Name: id, Value: progress}}}
+	for n := range parts - 1 {
+		part := job.ProgressPart{AcceptedMs: 5}
+		for i := range partTasks {
+			part.MarkDone(i)
+		}
+		e.Puts = append(e.Puts, cell.Record{Kind: cell.ProgressPartRecord, Name: id, Part: n, Value: part})
+	}
+	s, w := newTestWriter(t)
+	largest := 0
+	w.store = &sizeRecordingStore{fakeStore: s, largest: &largest}
+	require.NoError(t, writeAll(w, e))
+	require.LessOrEqual(t, largest, 32)
+
+	read := &listStore{fakeStore: s}
+	index := map[string]core.Item{prefixOpen + id: {}}
+	jobs, stored, err := readIndexed(t.Context(), read, index)
+	require.NoError(t, err)
+	found, err := readParts(t.Context(), read, stored)
+	require.NoError(t, err)
+	_, p, err := decodeJob(id, jobs[prefixJob+id], stored[prefixProgress+id], found[id])
+	require.NoError(t, err)
+	require.Equal(t, (parts-1)*partTasks, len(p.Tasks))
+
+	damaged := found[id][partKey(id, 1)]
+	damaged.Value = []byte("{")
+	found[id][partKey(id, 1)] = damaged
+	_, _, err = decodeJob(id, jobs[prefixJob+id], stored[prefixProgress+id], found[id])
+	require.Error(t, err, "a job of which a part cannot be read must not run")
+
+	require.NoError(t, writeAll(w, cell.Write{Remove: []cell.RemovedJob{{ID: id, Parts: parts}}}))
+	require.LessOrEqual(t, largest, 32)
+	for key := range s.items {
+		require.NotContains(t, key, prefixPart)
+	}
+}
+
+// TestRecordsTooLargeForOneAnswerAreRead guards against a takeover that never ends since the
+// records that are read with one call are larger than an answer may be (review case 2 on a
+// related path).
+func TestRecordsTooLargeForOneAnswerAreRead(t *testing.T) {
+	s, _ := newTestWriter(t)
+	index := map[string]core.Item{}
+	for i := range 40 {
+		id := fmt.Sprintf("%016x", i)
+		index[prefixOpen+id] = core.Item{}
+		for _, prefix := range []string{prefixJob, prefixProgress} {
+			s.items[prefix+id] = core.Item{Key: prefix + id, Value: make([]byte, 1000), Revision: 1}
+		}
+	}
+	jobs, progress, err := readIndexed(t.Context(), &listStore{s, 3500}, index)
+	require.NoError(t, err)
+	require.Len(t, jobs, 40)
+	require.Len(t, progress, 40)
+}
--- a/edge/records.go
+++ b/edge/records.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strconv"
 
 	"jacinthwind/core"
 	"jacinthwind/core/cell"
@@ -17,7 +18,10 @@
 	prefixSequence = "jw/sequence/"
 	prefixJob      = "jw/job/"
 	prefixProgress = "jw/progress/"
-	prefixWave     = "jw/wave/"
+	// prefixPart holds the parts of the progress of jobs, by the job's id and the number of
+	// the part.
+	prefixPart = "jw/part/"
+	prefixWave = "jw/wave/"
 	// prefixOpen lists the jobs that have not ended, by their ids, and may list others.
 	prefixOpen   = "jw/open/"
 	keyOpenIndex = "jw/open"
@@ -62,6 +66,9 @@
 	return data
 }
 
+// partKey returns the key of a part of a job's progress.
+func partKey(id string, part int) string { return prefixPart + id + "/" + strconv.Itoa(part) }
+
 // encodeRecord returns the key and the value under which a record is stored.
 func encodeRecord(codec core.Codec, r cell.Record) core.Put {
 	switch r.Kind {
@@ -69,6 +76,8 @@
 		return core.Put{Key: prefixJob + r.Name, Value: mustEncode(r.Value)}
 	case cell.ProgressRecord:
 		return core.Put{Key: prefixProgress + r.Name, Value: mustEncode(r.Value)}
+	case cell.ProgressPartRecord:
+		return core.Put{Key: partKey(r.Name, r.Part), Value: mustEncode(r.Value)}
 	case cell.WaveRecord:
 		return core.Put{Key: prefixWave + r.Name, Value: mustEncode(r.Value)}
 	case cell.VMOrdersRecord:
--- a/edge/writer.go
+++ b/edge/writer.go
@@ -74,7 +74,7 @@
 
 // laneOf returns the lane of a record.
 func laneOf(kind cell.RecordKind, name string) int {
-	if kind != cell.JobRecord && kind != cell.ProgressRecord {
+	if kind != cell.JobRecord && kind != cell.ProgressRecord && kind != cell.ProgressPartRecord {
 		return 0
 	}
 	h := fnv.New32a()
@@ -128,6 +128,8 @@
 				c = jobs[r.Name]
 			}
 			c.job, jobs[r.Name] = r.Name, c
+		} else if r.Kind == cell.ProgressPartRecord {
+			c.job = r.Name
 		}
 		if c.entries() == 0 {
 			i := laneOf(r.Kind, r.Name)
@@ -142,13 +144,14 @@
 			c.puts = append(c.puts, core.Put{Key: prefixOpen + id, Value: openMarker})
 		}
 	}
-	for _, id := range e.Remove {
-		if jobs[id] != nil {
+	for _, removed := range e.Remove {
+		i := laneOf(cell.JobRecord, removed.ID)
+		lanes[i] = append(lanes[i], removeParts(removed)...)
+		if jobs[removed.ID] != nil {
 			// The job was submitted anew; its records are replaced.
 			continue
 		}
-		i := laneOf(cell.JobRecord, id)
-		lanes[i] = append(lanes[i], &change{remove: []string{prefixJob + id, prefixProgress + id}})
+		lanes[i] = append(lanes[i], &change{remove: []string{prefixJob + removed.ID, prefixProgress + removed.ID}})
 	}
 	unstored, err := w.writeLanes(ctx, lanes)
 	for _, c := range unstored {
@@ -159,6 +162,19 @@
 	return rejected, err
 }
 
+// removeParts returns the changes that remove the parts of a job's progress.
+func removeParts(removed cell.RemovedJob) []*change {
+	var keys []string
+	for n := range removed.Parts {
+		keys = append(keys, partKey(removed.ID, n))
+	}
+	var changes []*change
+	for some := range slices.Chunk(keys, maxCommitEntries) {
+		changes = append(changes, &change{remove: some})
+	}
+	return changes
+}
+
 // updateIndex adds jobs to the index of the open ones, or removes jobs from it.
 func (w *writer) updateIndex(ctx context.Context, add, remove []string) error {
 	var lanes [writerLanes][]*change
--- a/edge/writer_test.go
+++ b/edge/writer_test.go
@@ -220,7 +220,7 @@
 	var e cell.Write
 	for i := range 100 {
 		e.Puts = append(e.Puts, cell.Record{Kind: cell.ProgressRecord, Name: fmt.Sprint(i), Value: job.Progress{}})
-		e.Remove = append(e.Remove, fmt.Sprint("old", i))
+		e.Remove = append(e.Remove, cell.RemovedJob{ID: fmt.Sprint("old", i)})
 	}
 	largest := 0
 	limited := &sizeRecordingStore{fakeStore: s, largest: &largest}
@@ -247,7 +247,7 @@
 		for _, k := range kinds {
 			e.Puts = append(e.Puts, cell.Record{Kind: k, Name: id, Value: job.Progress{State: job.Succeeded}})
 		}
-		e.Remove = append(e.Remove, fmt.Sprintf("%016x", 100+i))
+		e.Remove = append(e.Remove, cell.RemovedJob{ID: fmt.Sprintf("%016x", 100+i)})
 	}
 	split := &transactionRecordingStore{fakeStore: s}
 	w.store = split
@@ -351,7 +351,7 @@
 func TestRemovalTakesJobSubmittedAnew(t *testing.T) {
 	s, w := newTestWriter(t)
 	const id = "000000000000000a"
-	require.NoError(t, writeAll(w, cell.Write{Remove: []string{id}, Puts: []cell.Record{
+	require.NoError(t, writeAll(w, cell.Write{Remove: []cell.RemovedJob{{ID: id}}, Puts: []cell.Record{
 		{Kind: cell.JobRecord, Name: id, Value: job.Job{ID: id}}, {Kind: cell.ProgressRecord, Name: id, Value: job.Progress{State: job.Pending}},
 	}}))
 	require.Contains(t, s.items, prefixJob+id)
