--- a/core/cell/rules.go
+++ b/core/cell/rules.go
@@ -105,8 +105,8 @@
 	return max(j.queue.MaxAttempts, 1)
 }
 
-// mayStart reports whether it is known that a task has an attempt left. A task that has not
+// mayAttempt reports whether it is known that a task has an attempt left. A task that has not
 // failed has one.
-func (k *Kernel) mayStart(s *stepRun, index int) bool {
+func (s *stepRun) mayAttempt(index int) bool {
 	return s.job.queue != nil || s.Service || s.failureCount(index) == 0
 }
--- a/core/cell/schedule.go
+++ b/core/cell/schedule.go
@@ -143,17 +143,14 @@
 		return
 	}
 	if s.Gang {
-		if k.mayStart(s, 0) {
+		if s.mayAttempt(0) {
 			k.startGang(s, free)
 		}
 		return
 	}
 	for i := range s.tasks {
 		t := &s.tasks[i]
-		if !k.mayStart(s, i) {
-			continue
-		}
-		if t.state != taskWaiting || t.uncertain || t.retryAt > k.now.Monotonic {
+		if t.state != taskWaiting || t.uncertain || t.retryAt > k.now.Monotonic || !s.mayAttempt(i) {
 			continue
 		}
 		if !k.withinTeamLimit(s, 1) {
