Walk over open jobs alone when a version changes; take the latest known limit

Each version sorted all jobs, ended ones included, tens of thousands at the large size; and of several stored limits of a team that is not named, the one loaded first held, in the order of a map.

Change: the queues of open jobs only, sorted where a decision follows; the limit stored with the job that was accepted last holds.

Ruled out: a need of ended jobs for their queue; nothing reads it.

Result: TestLimitOfAbsentTeamHolds has a job with an earlier limit now, and fails with the order turned round.

--- a/core/cell/absent_rules_test.go
+++ b/core/cell/absent_rules_test.go
@@ -115,11 +115,16 @@
 			j := simpleJob(1, 12, 1000)
 			w.submitJob(j)
 			w.advance(100 * time.Millisecond)
+			// An earlier job was accepted with another limit.
+			earlier := *w.records[j.ID]
+			earlier.ID, earlier.AcceptedMs, earlier.TeamLimit = "00000000000000f0", 1, fleet.Vector{CPU: 9000}
+			w.records[earlier.ID], w.specs[earlier.ID] = &earlier, &earlier
+			w.stored[earlier.ID] = job.Progress{State: job.Pending}
 			w.changeConfiguration(func(c *fleet.Configuration) { c.Teams = nil })
 			if changeOwner {
 				w.replaceOwner()
 			}
-			for range 600 {
+			for range 1000 {
 				w.advance(testStep)
 				running := 0
 				for _, x := range w.executors {
--- a/core/cell/kernel.go
+++ b/core/cell/kernel.go
@@ -109,7 +109,7 @@
 	queueDepth map[string]int
 	// teamLimits holds the last known limit of each team, also of those that the
 	// configuration no longer names.
-	teamLimits map[string]fleet.Vector
+	teamLimits map[string]knownLimit
 
 	// recovering is true while tasks are held back because an earlier owner may have
 	// started them.
@@ -161,7 +161,7 @@
 		now: now, claimedAt: now.Monotonic, recovering: true,
 		jobs: map[string]*jobState{}, executors: map[string]*executor{}, unnamedPools: map[string]fleet.Executor{},
 		pools: map[string]*pool{}, teamUsage: map[string]fleet.Vector{},
-		evacuated: map[string]bool{}, queueDepth: map[string]int{}, teamLimits: map[string]fleet.Vector{},
+		evacuated: map[string]bool{}, queueDepth: map[string]int{}, teamLimits: map[string]knownLimit{},
 		waves: map[int]*wave{}, vms: map[string]fleet.VM{},
 		vmOrders: map[string]vmOrder{}, orderRecordedAt: map[string]time.Duration{}, inheritedOrders: map[string]bool{}, orderRefusedAt: map[string]time.Duration{},
 		config: &fleet.Configuration{}, capacities: map[capacityKey]capacity{}, refusedSince: map[string]time.Duration{}, surplusCores: map[string]float64{},
--- a/core/cell/recover.go
+++ b/core/cell/recover.go
@@ -12,9 +12,7 @@
 
 // LoadJob restores a job from the store; it must be called before the first event.
 func (k *Kernel) LoadJob(spec *job.Job, p job.Progress) {
-	if _, known := k.teamLimits[spec.Team]; !known && spec.AcceptedQueue != nil {
-		k.teamLimits[spec.Team] = spec.TeamLimit
-	}
+	k.loadTeamLimit(spec)
 	j := k.addJob(spec, p)
 	j.stored = true
 	if p.State.IsFinal() {
--- a/core/cell/rules.go
+++ b/core/cell/rules.go
@@ -1,7 +1,7 @@
 package cell
 
 import (
-	"maps"
+	"cmp"
 	"math"
 	"slices"
 
@@ -34,19 +34,25 @@
 	return last
 }
 
-// updateQueues gives all jobs the queues of a new configuration.
+// updateQueues gives all open jobs the queues of a new configuration.
 func (k *Kernel) updateQueues() {
 	clear(k.queueDepth)
-	for _, id := range slices.Sorted(maps.Keys(k.jobs)) {
-		j := k.jobs[id]
-		unknown := j.queue == nil
+	var nowKnown []*jobState
+	for _, j := range k.jobs {
+		if j.state.IsFinal() {
+			continue
+		}
+		if j.queue == nil {
+			nowKnown = append(nowKnown, j)
+		}
 		j.queue = k.queueOf(j.Job, j.queue)
 		if !j.started && j.OccurrenceCount == 0 {
 			k.queueDepth[j.queueName()]++
 		}
-		if unknown && j.queue != nil {
-			k.failExhausted(j)
-		}
+	}
+	slices.SortFunc(nowKnown, func(a, b *jobState) int { return cmp.Compare(a.ID, b.ID) })
+	for _, j := range nowKnown {
+		k.failExhausted(j)
 	}
 }
 
@@ -62,21 +68,35 @@
 	}
 }
 
+// knownLimit is the limit of a team as it was at a time.
+type knownLimit struct {
+	fleet.Vector
+	asOfMs int64
+}
+
 // teamLimit returns the limit of a team, the last known one if the configuration does not name
 // the team, and false if there is none.
 func (k *Kernel) teamLimit(name string) (fleet.Vector, bool) {
 	if team := k.config.Team(name); team != nil {
 		return team.Limit, true
 	}
-	limit, ok := k.teamLimits[name]
-	return limit, ok
+	known, ok := k.teamLimits[name]
+	return known.Vector, ok
 }
 
 // updateTeamLimits takes over the limits of the teams that a new configuration names.
 func (k *Kernel) updateTeamLimits() {
 	for i := range k.config.Teams {
 		team := &k.config.Teams[i]
-		k.teamLimits[team.Name] = team.Limit
+		k.teamLimits[team.Name] = knownLimit{team.Limit, k.now.UnixMs}
+	}
+}
+
+// loadTeamLimit takes over the limit that the team of a stored job had when it was accepted,
+// unless a later one is known.
+func (k *Kernel) loadTeamLimit(j *job.Job) {
+	if known, ok := k.teamLimits[j.Team]; j.AcceptedQueue != nil && (!ok || known.asOfMs < j.AcceptedMs) {
+		k.teamLimits[j.Team] = knownLimit{j.TeamLimit, j.AcceptedMs}
 	}
 }
 
