Log calls to the owner that go unanswered, come late or come twice

The node now logs each call that the owner leaves without an answer (705: job, attempt, owner, time), the owner each call that arrives late or again (706: job, node, attempt, greatest age), and 602 names the attempt. The age follows from the clocks that both ends of a link exchange anyway, as that of orders does.

Calls are decided as before.

--- a/core/carrier/freshness.go
+++ b/core/carrier/freshness.go
@@ -47,11 +47,19 @@
 // IsFresh reports whether an order that the owner sent at the given time of its
 // clock may still be sent on at the node's time now.
 func (f *Freshness) IsFresh(now, sent time.Duration) bool {
+	age, ok := f.MaxAge(now, sent)
+	return ok && age <= maxOrderAge
+}
+
+// MaxAge returns how old a message is at most, at this side's time now, that the peer
+// sent at the given time of its clock. It returns false if the clocks have not been
+// compared lately.
+func (f *Freshness) MaxAge(now, sent time.Duration) (time.Duration, bool) {
 	for _, s := range f.samples {
 		if now <= s.at+sampleLifetime {
 			// The first sample that still counts has the smallest offset.
-			return now+s.offset <= sent+maxOrderAge
+			return now + s.offset - sent, true
 		}
 	}
-	return false
+	return 0, false
 }
--- a/core/cell/event.go
+++ b/core/cell/event.go
@@ -58,6 +58,8 @@
 	Submitted struct {
 		Call CallID
 		Job  *job.Job
+		// Attempt numbers the copies of a call that was sent again for want of an answer.
+		Attempt int
 		// TimeLeft is how long the caller still waits, zero if it is not known.
 		TimeLeft time.Duration
 	}
--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -65,7 +65,7 @@
 		k.refusedSince[e.Job.ID] = firstTry
 		k.log(event.JobRefused, "job", e.Job.ID, "queue", queue.Name, "team", e.Job.Team, "reason", a.Reason,
 			"retry_after_ms", a.RetryAfter.Milliseconds(), "expected_wait_ms", a.Wait.Milliseconds(),
-			"chain_ms", e.Job.CriticalPath().Milliseconds(), "asked_first_ms", (k.now.Monotonic - firstTry).Milliseconds())
+			"chain_ms", e.Job.CriticalPath().Milliseconds(), "asked_first_ms", (k.now.Monotonic - firstTry).Milliseconds(), "attempt", e.Attempt)
 		k.emit(Reply{e.Call, a})
 		return
 	}
--- a/core/event/platform.go
+++ b/core/event/platform.go
@@ -38,6 +38,8 @@
 	SubmissionUncertain   Number = 702
 	StateUnknown          Number = 703
 	CancelUncertain       Number = 704
+	CallUnanswered        Number = 705
+	CallLate              Number = 706
 	OwnerDeposed          Number = 711
 	OwnerRecordFault      Number = 712
 	OwnerSeen             Number = 713
@@ -114,6 +116,8 @@
 		SubmissionUncertain:   "it is not known whether a submission was accepted",
 		StateUnknown:          "a job's state could be read neither from the owner nor from the store",
 		CancelUncertain:       "it is not known whether a job was cancelled",
+		CallUnanswered:        "the owner did not answer a caller's request, which may still take effect; it is sent again while its caller waits",
+		CallLate:              "a caller's request reached this owner late or more than once",
 		OwnerDeposed:          "this owner detected a later owner and stops",
 		OwnerRecordFault:      "the owner's record in the store cannot be read",
 		OwnerSeen:             "the store names another owner",
--- a/edge/owner_call.go
+++ b/edge/owner_call.go
@@ -8,8 +8,11 @@
 	"net/http"
 	"time"
 
+	"go.uber.org/zap"
+
 	"jacinthwind/common/jsonhttp"
 	"jacinthwind/core/cell"
+	"jacinthwind/core/event"
 	"jacinthwind/core/job"
 )
 
@@ -20,6 +23,16 @@
 	Job *job.Job `json:"job,omitempty"`
 	// Name is the id of the job, or the name of the queue, that the call is about.
 	Name string `json:"name,omitempty"`
+	// Attempt numbers the copies of a call that is sent again for want of an answer, from 1.
+	Attempt int `json:"attempt,omitempty"`
+}
+
+// subject returns the id of the job, or the name of the queue, that the call is about.
+func (c *ownerCall) subject() string {
+	if c.Job != nil {
+		return c.Job.ID
+	}
+	return c.Name
 }
 
 // callKind is the kind of a caller's request.
@@ -76,7 +89,9 @@
 		if deadline, ok := ctx.Deadline(); ok {
 			left = max(time.Until(deadline), time.Nanosecond)
 		}
-		a.Answer, err = h.submit(ctx, func(c cell.CallID) cell.Event { return cell.Submitted{Call: c, Job: call.Job, TimeLeft: left} })
+		a.Answer, err = h.submit(ctx, func(c cell.CallID) cell.Event {
+			return cell.Submitted{Call: c, Job: call.Job, Attempt: call.Attempt, TimeLeft: left}
+		})
 	case callCancel:
 		if err := h.ensureKnown(ctx, call.Name); err != nil {
 			return a, err
@@ -133,14 +148,17 @@
 // is safe: a job's id makes its submission and its cancellation idempotent.
 func (p *Process) callOwnerWithRetry(ctx context.Context, call ownerCall) (ownerAnswer, error) {
 	sent := false
-	for {
-		_, changed := p.ownership.currentRecord()
+	for began := monotonicNow(); ; {
+		call.Attempt++
+		record, changed := p.ownership.currentRecord()
 		a, err := p.callOwner(ctx, call)
 		if err == nil && a.Verdict != verdictNotOwner {
 			return a, nil
 		}
 		if err != nil && !isNotSent(err) {
 			sent = true
+			p.log.Event(event.CallUnanswered, zap.String("kind", string(call.Kind)), zap.String("job", call.subject()), zap.Int("attempt", call.Attempt),
+				zap.String("owner", record.Node), zap.Int64("after_ms", (monotonicNow()-began).Milliseconds()), zap.Error(err))
 		}
 		t := time.NewTimer(ownerRetryInterval)
 		select {
--- a/edge/owner_link.go
+++ b/edge/owner_link.go
@@ -27,6 +27,8 @@
 	carrierHeartbeat = 200 * time.Millisecond
 	// maxLinkCalls limits the callers' requests of one link that the owner works on.
 	maxLinkCalls = 500
+	// lateCallAge is the age from which on a call is logged as late.
+	lateCallAge = 200 * time.Millisecond
 	// maxLinkBacklog limits the orders and answers that wait to be written to one
 	// link. A link that takes none for so long is closed.
 	maxLinkBacklog = 5000
@@ -211,6 +213,7 @@
 // read passes on the messages of a link until it ends, and returns why it ended.
 func (s *linkSet) read(ctx context.Context, l *ownerLink, stream *jsonstream.Stream) error {
 	slots := make(chan struct{}, maxLinkCalls)
+	var freshness carrier.Freshness
 	for {
 		var m nodeMessage
 		err := stream.Receive(&m)
@@ -227,9 +230,16 @@
 		l.nodeClockMs = max(l.nodeClockMs, m.ClockMs)
 		l.mu.Unlock()
 		if m.EchoMs > 0 {
+			// The node rounds its clock down, which a millisecond more covers.
+			freshness.Compare(monotonicNow(), time.Duration(m.EchoMs)*time.Millisecond, time.Duration(m.ClockMs+1)*time.Millisecond)
 			s.pass(linkRead{l, time.Duration(m.EchoMs) * time.Millisecond, m.Leaving, m.Reports})
 		}
+		age, _ := freshness.MaxAge(monotonicNow(), time.Duration(m.ClockMs)*time.Millisecond)
 		for _, call := range m.Calls {
+			if call.Attempt > 1 || age > lateCallAge {
+				s.log.Event(event.CallLate, zap.String("kind", string(call.Kind)), zap.String("job", call.subject()), zap.String("peer", l.node.Name),
+					zap.Int("attempt", call.Attempt), zap.Int64("age_ms", age.Milliseconds()))
+			}
 			select {
 			case slots <- struct{}{}:
 				go func() {
