Accept a call to the owner only while its caller waits

Cause: a node that gets no answer from the owner sends a submission again. The answer to the second copy was passed on as the answer to all, while the first was still on its way in a connection that delivered it late. The owner counted a call's time from when it read it, and nothing told it that it had refused a younger copy. The class: an answer to one copy of a request is taken for the fate of all copies.

Change: both ends of a link compare their clocks anyway, for orders to executors; the owner now takes from it when a call was sent at the earliest. A node says how long its caller still waits at the moment of sending, the owner counts from there, and the kernel accepts a new job only before that deadline and only by a call that was sent after the job's last refusal. Refusals for a missing queue and of unstorable records count as well. A node sends one message when the owner begins to serve, so that the first call over an idle link does not look old. An owner's record says that it takes links; nodes then no longer use POST /owner, which has no clock. The kernel of the product's own interface has had such a rule (stale copies are not taken); this path was written without it.

Ruled out by reading: a call taken for unsent (it is so only while it waits in its node, and is then removed); a copy that outlives its owner (links end with the ownership, writes expect the owner's record); a copy in ensureKnown while its repetition is refused (it has a deadline and is older than the refusal).

--- a/core/cell/kernel.go
+++ b/core/cell/kernel.go
@@ -150,10 +150,13 @@
 	lendableVMs []lending.VM
 	// surplusCores holds by how many cores each pool exceeds its need, as last planned.
 	surplusCores map[string]float64
-	// refusedSince holds when a refused job was first submitted, by job id.
-	refusedSince map[string]time.Duration
+	// refusals holds when jobs were refused, by job id.
+	refusals map[string]refusal
 }
 
+// refusal tells when a job was first submitted, and when its submission was last refused.
+type refusal struct{ firstTry, refusedAt time.Duration }
+
 // New returns a kernel that owns its pools under token from now on.
 func New(s Settings, now Now, token int64, runBase int) *Kernel {
 	return &Kernel{
@@ -164,7 +167,7 @@
 		evacuated: map[string]bool{}, queueDepth: map[string]int{}, teamLimits: map[string]knownLimit{},
 		waves: map[int]*wave{}, vms: map[string]fleet.VM{},
 		vmOrders: map[string]vmOrder{}, orderRecordedAt: map[string]time.Duration{}, inheritedOrders: map[string]bool{}, orderRefusedAt: map[string]time.Duration{},
-		config: &fleet.Configuration{}, capacities: map[capacityKey]capacity{}, refusedSince: map[string]time.Duration{}, surplusCores: map[string]float64{},
+		config: &fleet.Configuration{}, capacities: map[capacityKey]capacity{}, refusals: map[string]refusal{}, surplusCores: map[string]float64{},
 		outbox: outbox{dirty: map[string]*jobState{}, records: map[string]Record{}},
 	}
 }
@@ -330,8 +333,9 @@
 // Intervals of the clean-up.
 const (
 	cleanupInterval = 5 * time.Second
-	// refusalRetention is how long a refused job keeps the time of its first
-	// submission, so that a retry with the same id counts from it.
+	// refusalRetention is how long a refusal is remembered: a retry with the same id counts
+	// from the first submission, and no call that was sent before is accepted. Calls that
+	// are still on their way are younger.
 	refusalRetention = 15 * time.Second
 )
 
@@ -342,9 +346,9 @@
 		return
 	}
 	k.cleanedUpAt = k.now.Monotonic
-	for id, at := range k.refusedSince {
-		if k.now.Monotonic > at+refusalRetention {
-			delete(k.refusedSince, id)
+	for id, r := range k.refusals {
+		if k.now.Monotonic > r.refusedAt+refusalRetention {
+			delete(k.refusals, id)
 		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(k.jobs)) {
--- a/core/cell/outbox.go
+++ b/core/cell/outbox.go
@@ -145,6 +145,7 @@
 
 // forgetUnstoredJob drops a job that was never accepted, and answers its callers.
 func (k *Kernel) forgetUnstoredJob(j *jobState) {
+	k.refusals[j.ID] = refusal{firstTry: k.now.Monotonic, refusedAt: k.now.Monotonic}
 	for _, c := range j.submitCalls {
 		k.emit(Reply{c, Answer{Verdict: Unservable, Reason: "the store does not take the job's record"}})
 	}
--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -40,42 +40,56 @@
 		j.submitCalls = append(j.submitCalls, e.Call)
 		return
 	}
+	earlier, isRetry := k.refusals[e.Job.ID]
+	if isRetry && e.Sent <= earlier.refusedAt {
+		// Its caller was told that the job never runs.
+		k.refuseJob(e, earlier.firstTry, Answer{Verdict: Refused, RetryAfter: minRetryAfter, Reason: "the job was refused after this call was sent"})
+		return
+	}
+	firstTry := k.now.Monotonic
+	if isRetry {
+		firstTry = earlier.firstTry
+	}
 	queue := k.config.Queue(e.Job.Queue)
 	if queue == nil {
-		k.emit(Reply{e.Call, Answer{Verdict: NotFound, Reason: "no such queue"}})
+		k.refuseJob(e, firstTry, Answer{Verdict: NotFound, Reason: "no such queue"})
 		return
 	}
 	e.Job.Pool = queue.Pool
 	e.Job.AcceptedMs = k.now.UnixMs
-	firstTry, isRetry := k.refusedSince[e.Job.ID]
 	if !isRetry {
-		firstTry = k.now.Monotonic
 		k.ensurePool(queue.Pool).demand.AddJob(firstTry, float64(e.Job.EstimatedWork())/coreSecond)
 	}
 	// The objective counts from the caller's first attempt.
 	e.Job.AcceptedMs -= (k.now.Monotonic - firstTry).Milliseconds()
 	a := k.admitJob(e.Job, queue, firstTry)
-	if e.TimeLeft > 0 && e.TimeLeft < minStoreTime && a.Verdict == Accepted {
+	if e.Deadline != 0 && e.Deadline < k.now.Monotonic+minStoreTime && a.Verdict == Accepted {
 		a = Answer{Verdict: Refused, RetryAfter: minRetryAfter, Reason: "the caller does not wait long enough for the job to be stored"}
 	}
 	if k.storeUnresponsive() && a.Verdict != Unservable {
 		a = Answer{Verdict: Refused, RetryAfter: storeRetryAfter, Reason: "the store does not answer"}
 	}
 	if a.Verdict != Accepted {
-		k.refusedSince[e.Job.ID] = firstTry
-		k.log(event.JobRefused, "job", e.Job.ID, "queue", queue.Name, "team", e.Job.Team, "reason", a.Reason,
-			"retry_after_ms", a.RetryAfter.Milliseconds(), "expected_wait_ms", a.Wait.Milliseconds(),
-			"chain_ms", e.Job.CriticalPath().Milliseconds(), "asked_first_ms", (k.now.Monotonic - firstTry).Milliseconds(), "attempt", e.Attempt)
-		k.emit(Reply{e.Call, a})
+		k.refuseJob(e, firstTry, a)
 		return
 	}
-	delete(k.refusedSince, e.Job.ID)
+	delete(k.refusals, e.Job.ID)
 	k.recordRules(e.Job, queue)
 	j := k.addJob(e.Job, job.Progress{State: job.Pending})
 	j.submitCalls = append(j.submitCalls, e.Call)
 	k.markDirty(j)
 }
 
+// refuseJob refuses a job that was first submitted at a given time. No call that was sent
+// before is accepted afterwards.
+func (k *Kernel) refuseJob(e Submitted, firstTry time.Duration, a Answer) {
+	k.refusals[e.Job.ID] = refusal{firstTry: firstTry, refusedAt: k.now.Monotonic}
+	k.log(event.JobRefused, "job", e.Job.ID, "queue", e.Job.Queue, "team", e.Job.Team, "reason", a.Reason,
+		"retry_after_ms", a.RetryAfter.Milliseconds(), "expected_wait_ms", a.Wait.Milliseconds(),
+		"chain_ms", e.Job.CriticalPath().Milliseconds(), "asked_first_ms", (k.now.Monotonic - firstTry).Milliseconds(), "attempt", e.Attempt)
+	k.emit(Reply{e.Call, a})
+}
+
 // admitJob decides whether a job that was first submitted at a given time can meet
 // its latency objective.
 func (k *Kernel) admitJob(j *job.Job, queue *fleet.Queue, first time.Duration) Answer {
--- a/core/cell/world_jobs_test.go
+++ b/core/cell/world_jobs_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -101,14 +102,22 @@
 	return rejected
 }
 
-// submitJob submits a job and returns the id of the call.
+// submitJob submits a job by a call that arrives at once, and returns the id of the call.
 func (w *world) submitJob(j *job.Job) cell.CallID {
+	return w.submitLate(j, w.now, w.now+callTimeout)
+}
+
+// callTimeout is how long a caller waits for the answer to a submission.
+const callTimeout = 1200 * time.Millisecond
+
+// submitLate submits a job by a call that arrives now and was sent before.
+func (w *world) submitLate(j *job.Job, sent, deadline time.Duration) cell.CallID {
 	w.lastCall++
 	w.lookUpEnded(j.ID)
 	if j.Queue == "" {
 		j.Queue = "proofs"
 	}
-	w.step(cell.Submitted{Call: w.lastCall, Job: j})
+	w.step(cell.Submitted{Call: w.lastCall, Job: j, Sent: sent, Deadline: deadline})
 	return w.lastCall
 }
 
--- a/edge/link_message.go
+++ b/edge/link_message.go
@@ -49,7 +49,7 @@
 	// linkCall is a caller's request that a node passes on to the owner.
 	linkCall struct {
 		ID int64 `json:"id"`
-		// TimeoutMs is how long the node waits for the answer.
+		// TimeoutMs is how long the node still waits for the answer when it sends the call.
 		TimeoutMs int64 `json:"timeout_ms"`
 		ownerCall
 	}
--- a/edge/node_link.go
+++ b/edge/node_link.go
@@ -133,6 +133,8 @@
 	if m.Serving && !l.isServing {
 		l.isServing = true
 		close(l.serving)
+		// The owner compares the clocks before the first call.
+		defer l.signal()
 	}
 	if m.EchoMs > 0 {
 		// The owner rounds its clock down, which a millisecond more covers.
@@ -205,7 +207,11 @@
 	defer l.mu.Unlock()
 	m := l.pending
 	l.pending = nodeMessage{}
-	m.ClockMs, m.EchoMs, m.Leaving = monotonicNow().Milliseconds(), l.ownerClockMs, l.leaving
+	now := monotonicNow()
+	m.ClockMs, m.EchoMs, m.Leaving = now.Milliseconds(), l.ownerClockMs, l.leaving
+	for i := range m.Calls {
+		m.Calls[i].TimeoutMs = (m.Calls[i].deadline - now).Milliseconds()
+	}
 	if l.carrying {
 		l.stream.SetSilence(carrierSilence)
 		return m, carrierHeartbeat
@@ -301,11 +307,7 @@
 // answer. An owner that still reads the stored records is not sent any requests: they
 // would only delay it.
 func (l *nodeLink) call(ctx context.Context, call ownerCall) (ownerAnswer, error) {
-	deadline, ok := ctx.Deadline()
-	timeout := ownerCallTimeout
-	if ok {
-		timeout = time.Until(deadline)
-	}
+	call.deadline = monotonicNow() + timeLeft(ctx)
 	answer := make(chan linkAnswer, 1)
 	select {
 	case <-l.serving:
@@ -318,7 +320,7 @@
 	l.last++
 	id := l.last
 	l.calls[id] = answer
-	l.pending.Calls = append(l.pending.Calls, linkCall{ID: id, TimeoutMs: timeout.Milliseconds(), ownerCall: call})
+	l.pending.Calls = append(l.pending.Calls, linkCall{ID: id, ownerCall: call})
 	l.mu.Unlock()
 	l.signal()
 	select {
--- a/edge/owner_call.go
+++ b/edge/owner_call.go
@@ -25,6 +25,10 @@
 	Name string `json:"name,omitempty"`
 	// Attempt numbers the copies of a call that is sent again for want of an answer, from 1.
 	Attempt int `json:"attempt,omitempty"`
+
+	// sent is when the call was sent at the earliest, and deadline when its caller stops
+	// waiting, on this VM's clock. Both are zero for a call from a node without a link.
+	sent, deadline time.Duration
 }
 
 // subject returns the id of the job, or the name of the queue, that the call is about.
@@ -85,12 +89,8 @@
 		if err := h.ensureKnown(ctx, call.Job.ID); err != nil {
 			return a, err
 		}
-		var left time.Duration
-		if deadline, ok := ctx.Deadline(); ok {
-			left = max(time.Until(deadline), time.Nanosecond)
-		}
 		a.Answer, err = h.submit(ctx, func(c cell.CallID) cell.Event {
-			return cell.Submitted{Call: c, Job: call.Job, Attempt: call.Attempt, TimeLeft: left}
+			return cell.Submitted{Call: c, Job: call.Job, Attempt: call.Attempt, Sent: call.sent, Deadline: call.deadline}
 		})
 	case callCancel:
 		if err := h.ensureKnown(ctx, call.Name); err != nil {
@@ -125,6 +125,8 @@
 	ctx, cancel := context.WithTimeout(ctx, ownerCallTimeout)
 	defer cancel()
 	if record.Incarnation == p.incarnation {
+		call.sent = monotonicNow()
+		call.deadline = call.sent + timeLeft(ctx)
 		return p.handleOwner(ctx, call)
 	}
 	began := time.Now()
@@ -133,8 +135,8 @@
 		p.metrics.recordCall("link", outcomeLabel(err), time.Since(began))
 		return a, err
 	}
-	if u := p.unlinkable.Load(); u == nil || u.Incarnation != record.Incarnation {
-		// The link is being opened.
+	if u := p.unlinkable.Load(); record.Links || u == nil || u.Incarnation != record.Incarnation {
+		// The link is being opened. No other path tells the owner how old a call is.
 		return ownerAnswer{}, errNotSent
 	}
 	// A node of an older build takes no links. If the owner's VM is gone, the dial fails
@@ -144,6 +146,14 @@
 	return a, err
 }
 
+// timeLeft returns the time until the deadline of ctx, and ownerCallTimeout without one.
+func timeLeft(ctx context.Context) time.Duration {
+	if deadline, ok := ctx.Deadline(); ok {
+		return time.Until(deadline)
+	}
+	return ownerCallTimeout
+}
+
 // callOwnerWithRetry repeats a call until the owner answers or ctx ends. Repeating
 // is safe: a job's id makes its submission and its cancellation idempotent.
 func (p *Process) callOwnerWithRetry(ctx context.Context, call ownerCall) (ownerAnswer, error) {
--- a/edge/owner_link.go
+++ b/edge/owner_link.go
@@ -234,8 +234,16 @@
 			freshness.Compare(monotonicNow(), time.Duration(m.EchoMs)*time.Millisecond, time.Duration(m.ClockMs+1)*time.Millisecond)
 			s.pass(linkRead{l, time.Duration(m.EchoMs) * time.Millisecond, m.Leaving, m.Reports})
 		}
-		age, _ := freshness.MaxAge(monotonicNow(), time.Duration(m.ClockMs)*time.Millisecond)
+		received := monotonicNow()
+		age, ok := freshness.MaxAge(received, time.Duration(m.ClockMs)*time.Millisecond)
 		for _, call := range m.Calls {
+			if !ok {
+				l.addAnswer(linkAnswer{ID: call.ID, Error: "it is not known when the request was sent"})
+				continue
+			}
+			// The node had read what the owner sent at the time that it echoes, rounded down.
+			call.sent = max(received-age, time.Duration(m.EchoMs+1)*time.Millisecond)
+			call.deadline = call.sent + min(time.Duration(call.TimeoutMs)*time.Millisecond, ownerCallTimeout)
 			if call.Attempt > 1 || age > lateCallAge {
 				s.log.Event(event.CallLate, zap.String("kind", string(call.Kind)), zap.String("job", call.subject()), zap.String("peer", l.node.Name),
 					zap.Int("attempt", call.Attempt), zap.Int64("age_ms", age.Milliseconds()))
@@ -253,12 +261,17 @@
 	}
 }
 
-// answer answers a caller's request of a node.
+// answer answers a caller's request of a node while its caller waits.
 func (s *linkSet) answer(ctx context.Context, l *ownerLink, call linkCall) {
-	timeout := min(time.Duration(call.TimeoutMs)*time.Millisecond, ownerCallTimeout)
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
 	answer := linkAnswer{ID: call.ID}
+	left := call.deadline - monotonicNow()
+	if left <= 0 {
+		answer.Error = "the request arrived after its caller had stopped waiting"
+		l.addAnswer(answer)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, left)
+	defer cancel()
 	err := guard(s.log, "answer a caller's request", func() (err error) {
 		answer.ownerAnswer, err = s.handle(ctx, call.ownerCall)
 		return err
--- a/edge/process.go
+++ b/edge/process.go
@@ -98,7 +98,7 @@
 	}
 	p.ownership = &ownership{
 		reportValidUntil: p.outage.reportValidUntil, cutOff: func() bool { return false }, received: func() int64 { return 0 },
-		self:  ownerRecord{Node: s.Node, Incarnation: p.incarnation, Address: s.Peer},
+		self:  ownerRecord{Node: s.Node, Incarnation: p.incarnation, Address: s.Peer, Links: true},
 		store: d.Store, codec: d.Codec, executors: d.Executors, vms: d.VMs, advisor: d.Advisor,
 		settings: s.Kernel, cores: s.Cores, log: d.Log, metrics: d.Metrics, recordChanged: make(chan struct{}),
 		system: actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger {
--- a/edge/records.go
+++ b/edge/records.go
@@ -35,6 +35,8 @@
 	Incarnation string `json:"incarnation"`
 	Address     string `json:"address"`
 	Generation  int64  `json:"generation"`
+	// Links is set if the owner takes links; earlier builds do not tell.
+	Links bool `json:"links,omitempty"`
 }
 
 // sequenceRecord numbers the claims of all owners, under keySequence, and orders the
