Log the age of the configuration on which an answer rests

A request that is refused as not allowed is logged with the version in force and how long ago that was known to be the newest (707); 723 and 724 carry the same age, and the dump shows it. Answers are as before.

--- a/core/event/platform.go
+++ b/core/event/platform.go
@@ -40,6 +40,7 @@
 	CancelUncertain       Number = 704
 	CallUnanswered        Number = 705
 	CallLate              Number = 706
+	RequestNotAllowed     Number = 707
 	OwnerDeposed          Number = 711
 	OwnerRecordFault      Number = 712
 	OwnerSeen             Number = 713
@@ -117,6 +118,7 @@
 		StateUnknown:          "a job's state could be read neither from the owner nor from the store",
 		CancelUncertain:       "it is not known whether a job was cancelled",
 		CallUnanswered:        "the owner did not answer a caller's request, which may still take effect; it is sent again while its caller waits",
+		RequestNotAllowed:     "a request was refused since the configuration in force names no such queue or key",
 		CallLate:              "a caller's request reached this owner late or more than once",
 		OwnerDeposed:          "this owner detected a later owner and stops",
 		OwnerRecordFault:      "the owner's record in the store cannot be read",
--- a/edge/front.go
+++ b/edge/front.go
@@ -67,12 +67,12 @@
 	}
 	queue := configuration.Match(r.Host, r.URL.Path)
 	if queue == nil {
-		http.Error(w, "no such queue", http.StatusNotFound)
+		p.turnAway(w, r, configuration, http.StatusNotFound, "no such queue")
 		return
 	}
 	team, ok := authenticate(configuration, queue, r)
 	if !ok {
-		http.Error(w, "the key is not known", http.StatusUnauthorized)
+		p.turnAway(w, r, configuration, http.StatusUnauthorized, "the key is not known")
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), callerTimeout(r))
@@ -94,6 +94,16 @@
 	}
 }
 
+// maxLoggedPath is how much of a request's path is logged, in bytes.
+const maxLoggedPath = 100
+
+// turnAway answers a request that the configuration does not allow.
+func (p *Process) turnAway(w http.ResponseWriter, r *http.Request, c *fleet.Configuration, status int, reason string) {
+	p.log.Event(event.RequestNotAllowed, zap.String("path", r.URL.Path[:min(len(r.URL.Path), maxLoggedPath)]), zap.Int("status", status),
+		zap.String("reason", reason), zap.Int64("version", c.Version), zap.Int64("age_ms", p.configurationAge().Milliseconds()))
+	http.Error(w, reason, status)
+}
+
 // authenticate returns the team of the request's key and reports whether the request
 // is allowed; open queues need no key.
 func authenticate(c *fleet.Configuration, queue *fleet.Queue, r *http.Request) (string, bool) {
--- a/edge/prefix_watcher.go
+++ b/edge/prefix_watcher.go
@@ -34,6 +34,9 @@
 	// both may be nil.
 	onLost     func(error)
 	onRegained func()
+	// onRead receives when each call that was answered had been sent: the copy is at least as
+	// new as that. It may be nil.
+	onRead func(sent time.Duration)
 
 	items    map[string]core.Item
 	revision int64
@@ -44,6 +47,7 @@
 	synced, disconnected := false, false
 	for ctx.Err() == nil {
 		var err error
+		sent := monotonicNow()
 		if synced {
 			err = w.watch(ctx)
 		} else {
@@ -52,6 +56,9 @@
 		switch {
 		case err == nil:
 			synced = true
+			if w.onRead != nil {
+				w.onRead(sent)
+			}
 			if disconnected && w.onRegained != nil {
 				w.onRegained()
 			}
--- a/edge/process.go
+++ b/edge/process.go
@@ -85,9 +85,12 @@
 	unlinkable atomic.Pointer[ownerRecord]
 
 	configuration atomic.Pointer[fleet.Configuration]
-	stopping      atomic.Bool
-	peersMu       sync.Mutex
-	peers         []string
+	// configurationReadAt is when the last answered read of the operators' changes was sent,
+	// in nanoseconds of monotonicNow; the configuration is at least as new.
+	configurationReadAt atomic.Int64
+	stopping            atomic.Bool
+	peersMu             sync.Mutex
+	peers               []string
 }
 
 // New returns a process that serves once Run is called.
@@ -206,6 +209,9 @@
 	Incarnation   string `json:"incarnation"`
 	Owner         string `json:"owner"`
 	Configuration int64  `json:"configuration"`
+	// ConfigurationMs is how long ago the configuration was known to be the newest, in
+	// milliseconds.
+	ConfigurationMs int64 `json:"configuration_ms"`
 	// StoreMs is how long ago the store last answered, in milliseconds.
 	StoreMs int64    `json:"store_ms"`
 	Peers   []string `json:"peers"`
@@ -220,7 +226,7 @@
 	record, _ := p.ownership.currentRecord()
 	d := ProcessDump{Node: p.settings.Node, Incarnation: p.incarnation, Owner: record.Node, Peers: p.listPeers()}
 	if c := p.configuration.Load(); c != nil {
-		d.Configuration = c.Version
+		d.Configuration, d.ConfigurationMs = c.Version, p.configurationAge().Milliseconds()
 	}
 	if p.relay != nil {
 		d.StoreMs = (monotonicNow() - time.Duration(p.relay.lastAnswer.Load())).Milliseconds()
@@ -271,12 +277,22 @@
 func (p *Process) watchOperatorState(ctx context.Context) {
 	w := prefixWatcher{
 		store: p.store, prefix: p.codec.OperatorPrefix(), onChange: p.applyOperatorItems,
-		onLost:     func(err error) { p.log.Event(event.ConfigurationLost, zap.Error(err)) },
-		onRegained: func() { p.log.Event(event.ConfigurationRegained) },
+		onLost: func(err error) {
+			p.log.Event(event.ConfigurationLost, zap.Int64("age_ms", p.configurationAge().Milliseconds()), zap.Error(err))
+		},
+		onRegained: func() {
+			p.log.Event(event.ConfigurationRegained, zap.Int64("age_ms", p.configurationAge().Milliseconds()))
+		},
+		onRead: func(sent time.Duration) { p.configurationReadAt.Store(int64(sent)) },
 	}
 	w.run(ctx)
 }
 
+// configurationAge returns how long ago the configuration was known to be the newest.
+func (p *Process) configurationAge() time.Duration {
+	return monotonicNow() - time.Duration(p.configurationReadAt.Load())
+}
+
 // applyOperatorItems brings a newer configuration into force and passes the
 // operators' state to the ownership.
 func (p *Process) applyOperatorItems(items map[string]core.Item) {
