Race a watch over several paths to the store

Cause: a node has one watch of the operators' changes under way. When all open connections fall silent while new ones work, that watch waits 1.7 s for its own connection, then 1.7 s for each of up to three peers, over connections that were kept and are silent as well: 6.8 s in all, as in the record (723 on edge-norte-b-1 5.1 s after 721). It shows from the second time on, when connections to peers have been used before. The class: a pool of kept connections costs one time limit for each that has died, one after the other.

Change: a long poll goes over one path after the other beside those that are late: the kept connection, a new one, then peers; the first answer counts. A path gets the next one 0.35 s after the store's own waiting time. What is sent again for want of an answer, directly or through a peer, uses a new connection, and so does the probe of a store that was lost. A node takes itself for cut off only if a new connection fails, too. 730 says over which path a watch was answered.

Ruled out: the store being away for all (peers would refuse at once, 723 would name 503); a version that was read and not applied (the test reads the version in force).

--- a/core/event/platform.go
+++ b/core/event/platform.go
@@ -52,6 +52,7 @@
 	OwnerYields           Number = 719
 	StoreLost             Number = 721
 	StoreRegained         Number = 722
+	LongPollRerouted      Number = 730
 	OutageBridged         Number = 720
 	ConfigurationLost     Number = 723
 	ConfigurationRegained Number = 724
@@ -132,6 +133,7 @@
 		StoreLost:             "the store does not serve this node; it asks its peers",
 		OutageBridged:         "the peers' confirmation of a store outage changed: runs continue only while all confirm it",
 		StoreRegained:         "the store serves this node again",
+		LongPollRerouted:      "a watch of the store was answered over another path than the first, which was late or failed",
 		ConfigurationLost:     "the operators' changes cannot be read",
 		ConfigurationRegained: "the operators' changes can be read again",
 		OperatorEntrySkipped:  "an operator's entry cannot be decoded and is ignored",
--- a/core/metadata.go
+++ b/core/metadata.go
@@ -70,8 +70,12 @@
 	Method string `json:"method"`
 	Path   string `json:"path"`
 	Body   []byte `json:"body,omitempty"`
-	// LongPoll marks a long poll, whose answer the store may delay.
-	LongPoll bool `json:"waits,omitempty"`
+	// LongPoll marks a long poll, whose answer the store may delay for Wait.
+	LongPoll bool          `json:"waits,omitempty"`
+	Wait     time.Duration `json:"wait,omitempty"`
+	// Again is set if the call is sent again for want of an answer. It then uses a new
+	// connection, since all that were kept may have fallen silent.
+	Again bool `json:"-"`
 	// AnswerWithin, if not zero, limits the time until the answer begins. Such an answer
 	// may be large, and may take as long as it makes progress.
 	AnswerWithin time.Duration `json:"answer_within,omitempty"`
--- a/edge/hedge.go
+++ b/edge/hedge.go
@@ -70,12 +70,12 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	results := make(chan attemptResult, maxHedgeAttempts)
-	attempt := func(send storeCallFunc, viaPeer bool) {
+	attempt := func(send storeCallFunc, c core.StoreCall, viaPeer bool) {
 		began := monotonicNow()
 		status, data, err := send(ctx, c)
 		results <- attemptResult{status, data, err, viaPeer, monotonicNow() - began}
 	}
-	go attempt(send, false)
+	go attempt(send, c, false)
 	attempts, failed := 1, 0
 	delay := h.resendDelay() + sendTime
 	t := time.NewTimer(delay)
@@ -100,7 +100,9 @@
 				if last {
 					sender = fallback
 				}
-				go attempt(sender, last)
+				again := c
+				again.Again = true
+				go attempt(sender, again, last)
 				t.Reset(delay)
 			}
 		case <-ctx.Done():
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -78,6 +78,9 @@
 	if r.peers != nil {
 		peers = r.orderPeers(r.peers())
 	}
+	if c.LongPoll {
+		return r.sendLongPoll(ctx, c, peers)
+	}
 	if !r.isDirectDown() {
 		status, data, viaPeer, err := r.callWithHedging(ctx, c, peers)
 		if isServed(status, err) {
@@ -102,10 +105,9 @@
 		}
 	}
 	lastErr := fmt.Errorf("relay call to store: no peer is listed")
-	for _, p := range peers[:min(len(peers), maxPeerAttempts)] {
-		limited, cancel := context.WithTimeout(ctx, relayTimeout(c))
-		status, data, err := r.callPeer(limited, p, c)
-		cancel()
+	for i, p := range peers[:min(len(peers), maxPeerAttempts)] {
+		c.Again = i > 0
+		status, data, err := r.callPeerWithin(ctx, relayTimeout(c), p, c)
 		if isServed(status, err) {
 			r.lastAnswer.Store(int64(monotonicNow()))
 			r.received.Add(int64(len(data)))
@@ -230,12 +232,7 @@
 // callWithHedging calls the store. After two attempts without an answer, the last
 // one goes through the first of the peers. A long poll is sent once.
 func (r *Relay) callWithHedging(ctx context.Context, c core.StoreCall, peers []string) (status int, data []byte, viaPeer bool, err error) {
-	switch {
-	case c.LongPoll:
-		c.OnProgress = func(int) { r.lastDirectAnswer.Store(int64(monotonicNow())) }
-		status, data, err = r.Direct(ctx, c)
-		return status, data, false, err
-	case c.AnswerWithin > 0:
+	if c.AnswerWithin > 0 {
 		a := r.readLarge(ctx, c)
 		return a.status, a.data, false, a.err
 	}
@@ -280,6 +277,7 @@
 	var begun sync.Once
 	attempt := func(i int) {
 		c := c
+		c.Again = i > 0
 		c.OnProgress = func(bytes int) {
 			r.recordPart(bytes)
 			begun.Do(func() {
@@ -342,8 +340,18 @@
 	return time.Duration(float64(bytes) / max(linkShare*r.LinkBytesPerS, minTransferRate) * float64(time.Second))
 }
 
+// callPeerWithin is callPeer with a timeout.
+func (r *Relay) callPeerWithin(ctx context.Context, timeout time.Duration, peer string, c core.StoreCall) (int, []byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return r.callPeer(ctx, peer, c)
+}
+
 // callPeer asks a peer to relay a call to the store.
 func (r *Relay) callPeer(ctx context.Context, peer string, c core.StoreCall) (int, []byte, error) {
+	if c.Again {
+		r.Client.CloseIdleConnections()
+	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+peer+relayPath, bytes.NewReader(mustEncode(c)))
 	if err != nil {
 		return 0, nil, err
@@ -358,6 +366,16 @@
 	return resp.StatusCode, data, err
 }
 
+// callDirectly calls the store without a peer.
+func (r *Relay) callDirectly(ctx context.Context, c core.StoreCall) (int, []byte, error) {
+	if c.LongPoll {
+		a := racePaths(ctx, c, r.directPaths())
+		return a.status, a.data, a.err
+	}
+	status, data, _, err := r.callWithHedging(ctx, c, nil)
+	return status, data, err
+}
+
 // serveRelayed sends a peer's call to the store, never through another peer.
 func (r *Relay) serveRelayed(w http.ResponseWriter, req *http.Request) {
 	var c core.StoreCall
@@ -370,7 +388,7 @@
 		http.Error(w, "this node has no store", http.StatusServiceUnavailable)
 		return
 	}
-	status, data, _, err := r.callWithHedging(req.Context(), c, nil)
+	status, data, err := r.callDirectly(req.Context(), c)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadGateway)
 		return
