Tell no caller by an outdated configuration that a queue does not exist

A node knows how long ago its configuration was the newest.

Change: beyond configApplyMs a request that the last known version does not allow gets 503 with Retry-After. What that version allows is served as before: an outage of the store must not stop it. So a route that was taken away can still be served by a node that hears nothing at all from the store or its peers; that stays.

--- a/commands/edge.go
+++ b/commands/edge.go
@@ -77,8 +77,9 @@
 	}
 	process := edge.New(edge.Settings{
 		Node: settings.Node, DataCentre: settings.Zone, Front: settings.Listen.Front, Ready: settings.Listen.Ready,
-		Peer:   net.JoinHostPort(settings.IP, strconv.Itoa(settings.PortRange[0])),
-		Kernel: kernelSettings, Cores: settings.Limits.CPUShare * settings.Limits.Cores,
+		Peer:                net.JoinHostPort(settings.IP, strconv.Itoa(settings.PortRange[0])),
+		MaxConfigurationAge: settings.Bounds.MaxConfigurationAge(),
+		Kernel:              kernelSettings, Cores: settings.Limits.CPUShare * settings.Limits.Cores,
 		SlowLink: slowLink,
 	}, edge.Dependencies{
 		Store: store,
--- a/edge/front.go
+++ b/edge/front.go
@@ -97,10 +97,20 @@
 // maxLoggedPath is how much of a request's path is logged, in bytes.
 const maxLoggedPath = 100
 
-// turnAway answers a request that the configuration does not allow.
+// turnAway answers a request that the configuration does not allow. While that may be an old
+// one, a newer one may allow it.
 func (p *Process) turnAway(w http.ResponseWriter, r *http.Request, c *fleet.Configuration, status int, reason string) {
+	age := p.configurationAge()
+	outdated := p.settings.MaxConfigurationAge > 0 && age > p.settings.MaxConfigurationAge
+	if outdated {
+		status, reason = http.StatusServiceUnavailable, reason+" in the last known configuration"
+	}
 	p.log.Event(event.RequestNotAllowed, zap.String("path", r.URL.Path[:min(len(r.URL.Path), maxLoggedPath)]), zap.Int("status", status),
-		zap.String("reason", reason), zap.Int64("version", c.Version), zap.Int64("age_ms", p.configurationAge().Milliseconds()))
+		zap.String("reason", reason), zap.Int64("version", c.Version), zap.Int64("age_ms", age.Milliseconds()))
+	if outdated {
+		p.refuse(w, status, defaultRetryAfter, reason)
+		return
+	}
 	http.Error(w, reason, status)
 }
 
--- a/edge/process.go
+++ b/edge/process.go
@@ -43,6 +43,10 @@
 	// Front, Ready and Peer are the addresses to listen on.
 	Front, Ready, Peer string
 	Kernel             cell.Settings
+	// MaxConfigurationAge is how long ago the configuration may have been known to be the
+	// newest, before callers are no longer told that it does not allow their requests; zero
+	// for no limit.
+	MaxConfigurationAge time.Duration
 	// Cores is the CPU time that the VM may use, in cores.
 	Cores float64
 	// SlowLink is set if the VM's network is so slow that messages between nodes are
