Count the age of a configuration from what the store has waited for

It counted the age from when the last answered watch was sent, which is two seconds ago just before the next one is answered. A watch that the store answers without a change shows that there was none while it waited, so the age is one second at most in calm.

--- a/edge/prefix_watcher.go
+++ b/edge/prefix_watcher.go
@@ -34,9 +34,9 @@
 	// both may be nil.
 	onLost     func(error)
 	onRegained func()
-	// onRead receives when each call that was answered had been sent: the copy is at least as
-	// new as that. It may be nil.
-	onRead func(sent time.Duration)
+	// onRead receives after each call that was answered how new the copy is at least, as a
+	// reading of the clock of monotonicNow. It may be nil.
+	onRead func(asOf time.Duration)
 
 	items    map[string]core.Item
 	revision int64
@@ -47,7 +47,6 @@
 	synced, disconnected := false, false
 	for ctx.Err() == nil {
 		var err error
-		sent := monotonicNow()
 		if synced {
 			err = w.watch(ctx)
 		} else {
@@ -56,9 +55,6 @@
 		switch {
 		case err == nil:
 			synced = true
-			if w.onRead != nil {
-				w.onRead(sent)
-			}
 			if disconnected && w.onRegained != nil {
 				w.onRegained()
 			}
@@ -81,10 +77,12 @@
 
 // resync replaces the copy by all items in the store.
 func (w *prefixWatcher) resync(ctx context.Context) error {
+	sent := monotonicNow()
 	items, revision, err := readPrefix(ctx, w.store, w.prefix)
 	if err != nil {
 		return err
 	}
+	defer w.recordRead(sent)
 	w.revision = revision
 	if w.onDelta != nil {
 		w.onChange(items)
@@ -129,10 +127,16 @@
 
 // watch waits for the next changes and applies them to the copy.
 func (w *prefixWatcher) watch(ctx context.Context) error {
+	asOf := monotonicNow()
 	page, err := w.store.Watch(ctx, w.prefix, w.revision, watchWait)
 	if err != nil {
 		return err
 	}
+	if len(page.Items) == 0 {
+		// The store has waited for a change all the while.
+		asOf = min(asOf+watchWait, monotonicNow())
+	}
+	defer w.recordRead(asOf)
 	w.revision = max(w.revision, page.Revision)
 	if len(page.Items) == 0 {
 		return nil
@@ -153,6 +157,13 @@
 	return nil
 }
 
+// recordRead reports how new the copy is.
+func (w *prefixWatcher) recordRead(asOf time.Duration) {
+	if w.onRead != nil {
+		w.onRead(asOf)
+	}
+}
+
 // sleep returns after d or when ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
--- a/edge/process.go
+++ b/edge/process.go
@@ -89,8 +89,8 @@
 	unlinkable atomic.Pointer[ownerRecord]
 
 	configuration atomic.Pointer[fleet.Configuration]
-	// configurationReadAt is when the last answered read of the operators' changes was sent,
-	// in nanoseconds of monotonicNow; the configuration is at least as new.
+	// configurationReadAt is how new the configuration is at least, in nanoseconds of
+	// monotonicNow.
 	configurationReadAt atomic.Int64
 	stopping            atomic.Bool
 	peersMu             sync.Mutex
@@ -287,7 +287,7 @@
 		onRegained: func() {
 			p.log.Event(event.ConfigurationRegained, zap.Int64("age_ms", p.configurationAge().Milliseconds()))
 		},
-		onRead: func(sent time.Duration) { p.configurationReadAt.Store(int64(sent)) },
+		onRead: func(asOf time.Duration) { p.configurationReadAt.Store(int64(asOf)) },
 	}
 	w.run(ctx)
 }
