Find silent stores and peers while a watch is raced

Once an answer begins, no further path is used unless it fails. - A node whose store accepts connections and answers nothing never took itself for cut off: the answer through a peer ended the race first, and each watch began with the silent way. It now counts as cut off when a new connection is later than the store may wait. - A full read through a peer that hangs took 5 s before the next peer was asked, since a relayed answer does not show its progress. A cheap read shows first whether the peer relays at all.

--- a/edge/long_poll.go
+++ b/edge/long_poll.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -30,12 +32,20 @@
 	path int
 }
 
-// racePaths sends a call over the first path and, while no answer arrives, over one path
+// racePaths sends a call over the first path and, while no answer begins, over one path
 // after the other beside it. The first answer of a store that serves counts; a path that
 // fails gives way to the next at once. path is the index of the path of the result.
 func racePaths(ctx context.Context, c core.StoreCall, paths []storePath) pathResult {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	begun := make(chan struct{})
+	onBegin, onProgress := sync.OnceFunc(func() { close(begun) }), c.OnProgress
+	c.OnProgress = func(bytes int) {
+		onBegin()
+		if onProgress != nil {
+			onProgress(bytes)
+		}
+	}
 	results := make(chan pathResult, len(paths))
 	started, failed := 0, 0
 	startNext := func() {
@@ -69,6 +79,10 @@
 		case <-t.C:
 			startNext()
 			t.Reset(latePathDelay)
+		case <-begun:
+			// Copies would share the link with the answer that arrives.
+			begun = nil
+			t.Stop()
 		}
 	}
 	return last
@@ -80,7 +94,11 @@
 	direct := func(again bool) storeCallFunc {
 		return func(ctx context.Context, c core.StoreCall) (int, []byte, error) {
 			c.Again = again
-			c.OnProgress = func(int) { r.lastDirectAnswer.Store(int64(monotonicNow())) }
+			onProgress := c.OnProgress
+			c.OnProgress = func(bytes int) {
+				r.lastDirectAnswer.Store(int64(monotonicNow()))
+				onProgress(bytes)
+			}
 			return r.Direct(ctx, c)
 		}
 	}
@@ -91,11 +109,17 @@
 // not hide changes for long.
 func (r *Relay) sendLongPoll(ctx context.Context, c core.StoreCall, peers []string) (int, []byte, error) {
 	var paths []storePath
+	// newestSent is when the call was sent directly over a new connection; the one that was
+	// kept may have fallen silent by itself.
+	var newestSent atomic.Int64
 	if !r.isDirectDown() {
 		paths = r.directPaths()
-		// The first connection may have fallen silent by itself.
 		newest := &paths[len(paths)-1]
-		newest.send = r.noticeFailure(newest.send)
+		send := r.noticeFailure(newest.send)
+		newest.send = func(ctx context.Context, c core.StoreCall) (int, []byte, error) {
+			newestSent.Store(int64(monotonicNow()))
+			return send(ctx, c)
+		}
 	}
 	for i, peer := range peers[:min(len(peers), maxPeerAttempts)] {
 		again := i > 0 || len(paths) > 0
@@ -116,6 +140,9 @@
 	r.lastAnswer.Store(int64(monotonicNow()))
 	if a.viaPeer {
 		r.setRelayPeer(paths[a.path].peer)
+		if sent := newestSent.Load(); sent != 0 && monotonicNow() > time.Duration(sent)+c.Wait+latePathDelay/2 {
+			r.markDirectDown(errSilentStore)
+		}
 	}
 	if a.path > 0 {
 		r.Log.Event(event.LongPollRerouted, zap.Int("path", a.path), zap.String("peer", paths[a.path].peer), zap.Int64("took_ms", (monotonicNow()-began).Milliseconds()))
--- a/edge/long_poll_test.go
+++ b/edge/long_poll_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -87,3 +88,79 @@
 	require.Equal(t, http.StatusOK, status)
 	require.False(t, r.isDirectDown())
 }
+
+// TestAnswerThatMakesProgressIsRequestedOverFurtherPaths guards against copies of a large
+// answer to a watch that share the link that is too slow for one.
+func TestAnswerThatMakesProgressIsRequestedOverFurtherPaths(t *testing.T) {
+	const wait = 100 * time.Millisecond
+	var calls atomic.Int32
+	r := &Relay{
+		Log: eventlog.Nop(), Client: &http.Client{Transport: roundTripFunc(func(*http.Request) (*http.Response, error) {
+			calls.Add(1)
+			return &http.Response{StatusCode: http.StatusServiceUnavailable, Body: http.NoBody}, nil
+		})},
+		peers: func() []string { return []string{"p0", "p1", "p2"} },
+		Direct: func(_ context.Context, c core.StoreCall) (int, []byte, error) {
+			calls.Add(1)
+			for range 10 {
+				time.Sleep(latePathDelay / 2)
+				c.OnProgress(1 << 10)
+			}
+			return http.StatusOK, nil, nil
+		},
+	}
+	_, _, err := r.SendCall(t.Context(), core.StoreCall{LongPoll: true, Wait: wait, AnswerWithin: wait + time.Second})
+	require.NoError(t, err)
+	require.Equal(t, int32(1), calls.Load(), "copies of the watch")
+}
+
+// TestReadThroughPeersWaitsForEachSilentPeer guards against a full read, as after a watch whose history
+// is gone, that waits for one silent peer after the other.
+func TestReadThroughPeersWaitsForEachSilentPeer(t *testing.T) {
+	// The silent peer relayed the last call.
+	r := &Relay{directDown: true, relayPeer: "silent", Log: eventlog.Nop(), peers: func() []string { return []string{"silent", "serving"} }}
+	r.Client = &http.Client{Transport: roundTripFunc(func(req *http.Request) (*http.Response, error) {
+		if req.URL.Host == "silent" {
+			<-req.Context().Done()
+			return nil, req.Context().Err()
+		}
+		return &http.Response{StatusCode: http.StatusOK, Body: http.NoBody}, nil
+	})}
+	began := monotonicNow()
+	_, _, err := r.SendCall(t.Context(), core.StoreCall{AnswerWithin: time.Second})
+	require.NoError(t, err)
+	require.Less(t, monotonicNow()-began, 2*time.Second)
+}
+
+// TestWatchNeverFindsThatStoreIsSilent guards against a node whose every watch first waits for a store that
+// does not answer it, since the answer through a peer ends the race before the direct way has failed.
+func TestWatchNeverFindsThatStoreIsSilent(t *testing.T) {
+	const wait = time.Second
+	relayed := make(chan struct{}, 100)
+	r := &Relay{
+		Log: eventlog.Nop(), peers: func() []string { return []string{"p0", "p1", "p2"} },
+		Direct: func(ctx context.Context, c core.StoreCall) (int, []byte, error) {
+			limited, cancel := context.WithTimeout(ctx, c.AnswerWithin)
+			defer cancel()
+			<-limited.Done()
+			return 0, nil, limited.Err()
+		},
+		Client: &http.Client{Transport: roundTripFunc(func(req *http.Request) (*http.Response, error) {
+			relayed <- struct{}{}
+			// The peer's watch brings no change.
+			select {
+			case <-time.After(wait):
+			case <-req.Context().Done():
+				return nil, req.Context().Err()
+			}
+			return &http.Response{StatusCode: http.StatusOK, Body: http.NoBody}, nil
+		})},
+	}
+	for range 3 {
+		began := monotonicNow()
+		_, _, err := r.SendCall(t.Context(), core.StoreCall{LongPoll: true, Wait: wait, AnswerWithin: wait + 700*time.Millisecond})
+		require.NoError(t, err)
+		t.Log("watch took", monotonicNow()-began, "direct down:", r.isDirectDown(), "relayed", len(relayed))
+	}
+	require.True(t, r.isDirectDown())
+}
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -104,9 +104,12 @@
 			r.markDirectDown(err)
 		}
 	}
-	lastErr := fmt.Errorf("relay call to store: no peer is listed")
+	lastErr := fmt.Errorf("relay call to store: no peer relays it")
 	for i, p := range peers[:min(len(peers), maxPeerAttempts)] {
 		c.Again = i > 0
+		if c.AnswerWithin > 0 && !r.isServedThrough(ctx, p, c.Again) {
+			continue
+		}
 		status, data, err := r.callPeerWithin(ctx, relayTimeout(c), p, c)
 		if isServed(status, err) {
 			r.lastAnswer.Store(int64(monotonicNow()))
@@ -340,6 +343,15 @@
 	return time.Duration(float64(bytes) / max(linkShare*r.LinkBytesPerS, minTransferRate) * float64(time.Second))
 }
 
+// isServedThrough reports whether a peer relays a call that is answered soon. Whether it relays a
+// large read would only show when it has read it whole.
+func (r *Relay) isServedThrough(ctx context.Context, peer string, again bool) bool {
+	c := r.Probe
+	c.Again = again
+	status, _, err := r.callPeerWithin(ctx, directTimeout, peer, c)
+	return isServed(status, err)
+}
+
 // callPeerWithin is callPeer with a timeout.
 func (r *Relay) callPeerWithin(ctx context.Context, timeout time.Duration, peer string, c core.StoreCall) (int, []byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
