Answer the owner's heartbeats, so that it knows how old calls are

The owner knows the age of a call from what nodes echo; the heartbeats of both sides left at the same time, so that each echoed one of a second ago.

A node answers a heartbeat at once and sends its own only when none comes, a quarter of the interval later: as many messages as before, with a fresh echo each. The message at the start of a link is one of these.

--- a/edge/late_call_test.go
+++ b/edge/late_call_test.go
@@ -72,3 +72,26 @@
 		before = <-decided
 	}
 }
+
+// TestCallAfterQuietTimeIsTakenForLate guards against a call that counts as late since its link
+// was quiet for longer than a comparison of the clocks counts: after a call the node's
+// heartbeats left just before the owner's arrived, so that what they echoed was a second old.
+func TestCallAfterQuietTimeIsTakenForLate(t *testing.T) {
+	const callerWaits = 800 * time.Millisecond
+	left := make(chan time.Duration, 1)
+	p := newLinkPair(t, func(ctx context.Context, _ ownerCall) (ownerAnswer, error) {
+		left <- timeLeft(ctx)
+		return ownerAnswer{}, nil
+	})
+	p.attach()
+	p.awaitLink()
+	time.Sleep(300 * time.Millisecond)
+	for _, quiet := range []time.Duration{0, 10*time.Second + 900*time.Millisecond} {
+		time.Sleep(quiet)
+		ctx, cancel := context.WithTimeout(t.Context(), callerWaits)
+		_, err := p.node.call(ctx, ownerCall{Kind: callDepth})
+		cancel()
+		require.NoError(t, err, "after %s", quiet)
+		require.Greater(t, <-left, callerWaits/2, "after %s", quiet)
+	}
+}
--- a/edge/node_link.go
+++ b/edge/node_link.go
@@ -130,11 +130,13 @@
 		defer l.signal()
 	}
 	l.carrying = m.Carrying
+	if len(m.Answers)+len(m.Orders) == 0 {
+		// The owner learns from the echo of a fresh message how old calls are.
+		defer l.signal()
+	}
 	if m.Serving && !l.isServing {
 		l.isServing = true
 		close(l.serving)
-		// The owner compares the clocks before the first call.
-		defer l.signal()
 	}
 	if m.EchoMs > 0 {
 		// The owner rounds its clock down, which a millisecond more covers.
@@ -212,12 +214,13 @@
 	for i := range m.Calls {
 		m.Calls[i].TimeoutMs = (m.Calls[i].deadline - now).Milliseconds()
 	}
+	// The owner's heartbeats come first, and are answered.
 	if l.carrying {
 		l.stream.SetSilence(carrierSilence)
-		return m, carrierHeartbeat
+		return m, carrierHeartbeat * 5 / 4
 	}
 	l.stream.SetSilence(linkSilence)
-	return m, linkHeartbeat
+	return m, linkHeartbeat * 5 / 4
 }
 
 // leave announces to the owner that this node stops.
