Start no job whose cancel was answered with not found

The submission then arrived late and the job ran, with nobody to cancel it. A cancel that finds no job counts as a refusal: only a call that was sent after it may submit the job.

TestJobRunsAfterItsCancelFoundNone failed before.

--- a/core/cell/late_call_test.go
+++ b/core/cell/late_call_test.go
@@ -143,3 +143,20 @@
 		}
 	})
 }
+
+// TestJobRunsAfterItsCancelFoundNone guards against a job that runs after its caller was told that it
+// does not exist: the call that submits it arrives after the cancel that was sent later.
+func TestJobRunsAfterItsCancelFoundNone(t *testing.T) {
+	w := newWorld(t, 1)
+	w.advance(2 * time.Second)
+	j := simpleJob(1, 1, 1000)
+	sent := w.now
+	w.advance(300 * time.Millisecond)
+	w.lastCall++
+	w.step(cell.CancelRequested{Call: w.lastCall, Job: j.ID})
+	require.Equal(t, cell.NotFound, w.verdicts[w.lastCall].Verdict)
+	w.advance(100 * time.Millisecond)
+	w.submitLate(j, sent, sent+callTimeout)
+	w.advance(5 * time.Second)
+	require.Zero(t, w.starts[j.ID+".0.0.0"])
+}
--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -355,6 +355,13 @@
 func (k *Kernel) cancelJob(e CancelRequested) {
 	j := k.jobs[e.Job]
 	if j == nil {
+		// Who is told that there is no such job is not to see it run.
+		r, ok := k.refusals[e.Job]
+		if !ok {
+			r.firstTry = k.now.Monotonic
+		}
+		r.refusedAt = k.now.Monotonic
+		k.refusals[e.Job] = r
 		k.emit(Reply{e.Call, Answer{Verdict: NotFound}})
 		return
 	}
