Let a refusal end for calls that do not tell when they were sent

After one refusal each of its retries was refused as perhaps older than that, and renewed the refusal, for as long as the caller came back.

--- a/core/cell/late_call_test.go
+++ b/core/cell/late_call_test.go
@@ -160,3 +160,23 @@
 	w.advance(5 * time.Second)
 	require.Zero(t, w.starts[j.ID+".0.0.0"])
 }
+
+// TestJobOfCallWithoutClockIsNeverAccepted guards against a caller of a node that does not say when calls
+// were sent: each of its retries renews the refusal that refuses the next one.
+func TestJobOfCallWithoutClockIsNeverAccepted(t *testing.T) {
+	w := newWorld(t, 1)
+	w.executors["e0"].Draining = true
+	w.listExecutors()
+	w.advance(2 * time.Second)
+	require.Equal(t, cell.Refused, w.verdicts[w.submitLate(simpleJob(1, 1, 1000), 0, 0)].Verdict)
+	w.executors["e0"].Draining = false
+	w.listExecutors()
+	accepted := false
+	for range 60 {
+		w.advance(time.Second)
+		call := w.submitLate(simpleJob(1, 1, 1000), 0, 0)
+		w.advance(200 * time.Millisecond)
+		accepted = accepted || w.verdicts[call].Verdict == cell.Accepted
+	}
+	require.True(t, accepted)
+}
--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -44,6 +44,10 @@
 	if isRetry && e.Sent <= earlier.refusedAt {
 		// Its caller was told that the job never runs.
 		k.refuseJob(e, earlier.firstTry, Answer{Verdict: Refused, RetryAfter: minRetryAfter, Reason: "the job was refused after this call was sent"})
+		if e.Sent == 0 {
+			// Such a call never looks younger, and must not bar the ones that follow for good.
+			k.refusals[e.Job.ID] = earlier
+		}
 		return
 	}
 	firstTry := k.now.Monotonic
