Close idle connections to an address where a kept one was silent

Cause: a client keeps up to 24 connections to an address and tries them one after the other. Each one that is silent costs a call without an answer.

Change: the transport tracks its connections. When a call ends without an answer on a connection that had been kept, the idle connections to the same address that have brought nothing since the call was sent are closed, so that the next call dials.

--- a/commands/edge.go
+++ b/commands/edge.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
 	"os"
 	"os/signal"
 	"reflect"
@@ -61,8 +62,13 @@
 	logWriter := eventlog.NewWriter(os.Stdout)
 	defer logWriter.Close()
 	log := eventlog.New(zapcore.AddSync(logWriter))
-	peers := platform.NewHTTPClient(peerConns, 0)
-	store := &platform.StoreClient{Address: settings.Platform.Address, Client: platform.NewHTTPClient(storeConns, 0)}
+	newClient := func(maxIdlePerHost, maxPerHost int) *http.Client {
+		c := platform.NewHTTPClient(maxIdlePerHost, maxPerHost)
+		platform.LogDiscards(c, log)
+		return c
+	}
+	peers := newClient(peerConns, 0)
+	store := &platform.StoreClient{Address: settings.Platform.Address, Client: newClient(storeConns, 0)}
 	relay := &edge.Relay{
 		Direct: store.Direct, Probe: platform.ProbeCall(), Client: peers, Log: log,
 		LinkBytesPerS: settings.Limits.LinkMbps * bytesPerSOfMbps,
@@ -84,15 +90,15 @@
 	}, edge.Dependencies{
 		Store: store,
 		Executors: &platform.ExecutorClient{
-			Client:        platform.NewHTTPClient(orderConns, orderConns),
-			RenewalClient: platform.NewHTTPClient(renewalConns, renewalConns),
+			Client:        newClient(orderConns, orderConns),
+			RenewalClient: newClient(renewalConns, renewalConns),
 		},
 		VMs: &platform.VMClient{
 			Address:    settings.CloudAPI.Address,
-			Client:     platform.NewHTTPClient(vmOrderConns, vmOrderConns),
-			ListClient: platform.NewHTTPClient(serviceConns, serviceConns),
+			Client:     newClient(vmOrderConns, vmOrderConns),
+			ListClient: newClient(serviceConns, serviceConns),
 		},
-		Advisor: &platform.Advisor{Address: settings.Advice, Client: platform.NewHTTPClient(serviceConns, serviceConns)},
+		Advisor: &platform.Advisor{Address: settings.Advice, Client: newClient(serviceConns, serviceConns)},
 		Codec:   platform.Codec{}, Relay: relay, PeerClient: peers, Log: log,
 		Metrics: &edge.CallMetrics{Metrics: metrics.New()},
 	})
--- a/core/event/platform.go
+++ b/core/event/platform.go
@@ -79,6 +79,7 @@
 	RecordSkipped         Number = 747
 	EndedJobsLoaded       Number = 748
 	WriteRejected         Number = 749
+	ConnectionsDiscarded  Number = 761
 )
 
 func init() {
@@ -158,6 +159,7 @@
 		OrderTooOld:           "an order was not sent to its executor since it had become too old on its way",
 		RecordSkipped:         "a stored record cannot be read and is skipped",
 		EndedJobsLoaded:       "the owner knows all jobs that ended under earlier owners",
+		ConnectionsDiscarded:  "a call on a kept connection got no answer; the idle connections to the same address that brought nothing since are closed",
 		WriteRejected:         "the store rejects a record for its form or size; its job is refused or fails, and all other writes go on",
 	} {
 		Catalogue[n] = text
