Open each link over a new connection

Discarding those that brought nothing since the link went quiet is not enough: one that brought something after the last message of the link and before the silence stays. Links are opened rarely, so each gets a new connection.

--- a/edge/node_link.go
+++ b/edge/node_link.go
@@ -396,6 +396,8 @@
 // serveLink links to an owner and serves the link until it ends.
 func (p *Process) serveLink(ctx context.Context, record ownerRecord) {
 	hello := nodeHello{Node: p.settings.Node, DataCentre: p.settings.DataCentre, Cores: p.settings.Cores, SlowLink: p.settings.SlowLink, Owner: record.Incarnation}
+	// Connections that were kept may have fallen silent together with an earlier link.
+	p.peerClient.CloseIdleConnections()
 	l, err := openLink(ctx, p.peerClient, record.Address, hello, p.ownership.executors, p.log)
 	if err != nil {
 		p.unlinkable.Store(&record)
