Name what a repeated call to the store gets, and what a refusal is

StoreCall.Again told why, not what: it makes the call use a new connection, which the probe does as well. turnAway becomes refuseNotAllowed. No change of behaviour.

--- a/core/cell/late_call_test.go
+++ b/core/cell/late_call_test.go
@@ -136,8 +136,8 @@
 			deliver(c)
 		}
 		r.advance(5 * time.Second)
-		for id, is := range refused {
-			if is {
+		for id, lastAnswerRefuses := range refused {
+			if lastAnswerRefuses {
 				require.Zero(t, r.starts[id+".0.0.0"], "starts of the refused job %s", id)
 			}
 		}
--- a/core/metadata.go
+++ b/core/metadata.go
@@ -73,9 +73,9 @@
 	// LongPoll marks a long poll, whose answer the store may delay for Wait.
 	LongPoll bool          `json:"waits,omitempty"`
 	Wait     time.Duration `json:"wait,omitempty"`
-	// Again is set if the call is sent again for want of an answer. It then uses a new
-	// connection, since all that were kept may have fallen silent.
-	Again bool `json:"-"`
+	// NewConnection makes the call use a new connection, since all that were kept may have
+	// fallen silent.
+	NewConnection bool `json:"-"`
 	// AnswerWithin, if not zero, limits the time until the answer begins. Such an answer
 	// may be large, and may take as long as it makes progress.
 	AnswerWithin time.Duration `json:"answer_within,omitempty"`
--- a/edge/front.go
+++ b/edge/front.go
@@ -67,12 +67,12 @@
 	}
 	queue := configuration.Match(r.Host, r.URL.Path)
 	if queue == nil {
-		p.turnAway(w, r, configuration, http.StatusNotFound, "no such queue")
+		p.refuseNotAllowed(w, r, configuration, http.StatusNotFound, "no such queue")
 		return
 	}
 	team, ok := authenticate(configuration, queue, r)
 	if !ok {
-		p.turnAway(w, r, configuration, http.StatusUnauthorized, "the key is not known")
+		p.refuseNotAllowed(w, r, configuration, http.StatusUnauthorized, "the key is not known")
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), callerTimeout(r))
@@ -97,9 +97,9 @@
 // maxLoggedPath is how much of a request's path is logged, in bytes.
 const maxLoggedPath = 100
 
-// turnAway answers a request that the configuration does not allow. While that may be an old
+// refuseNotAllowed answers a request that the configuration does not allow. While that may be an old
 // one, a newer one may allow it.
-func (p *Process) turnAway(w http.ResponseWriter, r *http.Request, c *fleet.Configuration, status int, reason string) {
+func (p *Process) refuseNotAllowed(w http.ResponseWriter, r *http.Request, c *fleet.Configuration, status int, reason string) {
 	age := p.configurationAge()
 	outdated := p.settings.MaxConfigurationAge > 0 && age > p.settings.MaxConfigurationAge
 	if outdated {
--- a/edge/hedge.go
+++ b/edge/hedge.go
@@ -101,7 +101,7 @@
 					sender = fallback
 				}
 				again := c
-				again.Again = true
+				again.NewConnection = true
 				go attempt(sender, again, last)
 				t.Reset(delay)
 			}
--- a/edge/long_poll.go
+++ b/edge/long_poll.go
@@ -93,7 +93,7 @@
 func (r *Relay) directPaths() []storePath {
 	direct := func(again bool) storeCallFunc {
 		return func(ctx context.Context, c core.StoreCall) (int, []byte, error) {
-			c.Again = again
+			c.NewConnection = again
 			onProgress := c.OnProgress
 			c.OnProgress = func(bytes int) {
 				r.lastDirectAnswer.Store(int64(monotonicNow()))
@@ -124,7 +124,7 @@
 	for i, peer := range peers[:min(len(peers), maxPeerAttempts)] {
 		again := i > 0 || len(paths) > 0
 		paths = append(paths, storePath{peer: peer, send: func(ctx context.Context, c core.StoreCall) (int, []byte, error) {
-			c.Again = again
+			c.NewConnection = again
 			return r.callPeerWithin(ctx, relayTimeout(c), peer, c)
 		}})
 	}
--- a/edge/long_poll_test.go
+++ b/edge/long_poll_test.go
@@ -69,7 +69,7 @@
 func TestSilentConnectionCutsNodeOff(t *testing.T) {
 	r := &Relay{Log: eventlog.Nop(), Direct: func(ctx context.Context, c core.StoreCall) (int, []byte, error) {
 		wait := c.Wait
-		if !c.Again {
+		if !c.NewConnection {
 			wait = c.AnswerWithin
 		}
 		select {
@@ -77,7 +77,7 @@
 			return 0, nil, ctx.Err()
 		case <-time.After(wait):
 		}
-		if !c.Again {
+		if !c.NewConnection {
 			return 0, nil, context.DeadlineExceeded
 		}
 		return http.StatusOK, nil, nil
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -106,8 +106,8 @@
 	}
 	lastErr := fmt.Errorf("relay call to store: no peer relays it")
 	for i, p := range peers[:min(len(peers), maxPeerAttempts)] {
-		c.Again = i > 0
-		if c.AnswerWithin > 0 && !r.isServedThrough(ctx, p, c.Again) {
+		c.NewConnection = i > 0
+		if c.AnswerWithin > 0 && !r.isServedThrough(ctx, p, c.NewConnection) {
 			continue
 		}
 		status, data, err := r.callPeerWithin(ctx, relayTimeout(c), p, c)
@@ -280,7 +280,7 @@
 	var begun sync.Once
 	attempt := func(i int) {
 		c := c
-		c.Again = i > 0
+		c.NewConnection = i > 0
 		c.OnProgress = func(bytes int) {
 			r.recordPart(bytes)
 			begun.Do(func() {
@@ -347,7 +347,7 @@
 // large read would only show when it has read it whole.
 func (r *Relay) isServedThrough(ctx context.Context, peer string, again bool) bool {
 	c := r.Probe
-	c.Again = again
+	c.NewConnection = again
 	status, _, err := r.callPeerWithin(ctx, directTimeout, peer, c)
 	return isServed(status, err)
 }
@@ -361,7 +361,7 @@
 
 // callPeer asks a peer to relay a call to the store.
 func (r *Relay) callPeer(ctx context.Context, peer string, c core.StoreCall) (int, []byte, error) {
-	if c.Again {
+	if c.NewConnection {
 		r.Client.CloseIdleConnections()
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+peer+relayPath, bytes.NewReader(mustEncode(c)))
