Count the demand of a job that was first refused for a missing queue

Since refusals for a queue that the owner does not know are remembered, a job that is accepted afterwards was not part of its pool's demand, as it seemed to have been counted at its first try.

--- a/core/cell/kernel.go
+++ b/core/cell/kernel.go
@@ -155,7 +155,11 @@
 }
 
 // refusal tells when a job was first submitted, and when its submission was last refused.
-type refusal struct{ firstTry, refusedAt time.Duration }
+type refusal struct {
+	firstTry, refusedAt time.Duration
+	// counted is set if the job is part of its pool's demand.
+	counted bool
+}
 
 // New returns a kernel that owns its pools under token from now on.
 func New(s Settings, now Now, token int64, runBase int) *Kernel {
--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -61,7 +61,9 @@
 	}
 	e.Job.Pool = queue.Pool
 	e.Job.AcceptedMs = k.now.UnixMs
-	if !isRetry {
+	if !earlier.counted {
+		earlier.counted = true
+		k.refusals[e.Job.ID] = earlier
 		k.ensurePool(queue.Pool).demand.AddJob(firstTry, float64(e.Job.EstimatedWork())/coreSecond)
 	}
 	// The objective counts from the caller's first attempt.
@@ -87,7 +89,7 @@
 // refuseJob refuses a job that was first submitted at a given time. No call that was sent
 // before is accepted afterwards.
 func (k *Kernel) refuseJob(e Submitted, firstTry time.Duration, a Answer) {
-	k.refusals[e.Job.ID] = refusal{firstTry: firstTry, refusedAt: k.now.Monotonic}
+	k.refusals[e.Job.ID] = refusal{firstTry, k.now.Monotonic, k.refusals[e.Job.ID].counted}
 	k.log(event.JobRefused, "job", e.Job.ID, "queue", e.Job.Queue, "team", e.Job.Team, "reason", a.Reason,
 		"retry_after_ms", a.RetryAfter.Milliseconds(), "expected_wait_ms", a.Wait.Milliseconds(),
 		"chain_ms", e.Job.CriticalPath().Milliseconds(), "asked_first_ms", (k.now.Monotonic - firstTry).Milliseconds(), "attempt", e.Attempt)
