Let a refusal hold for the caller's request, not for its last copy

The owner now takes as sent when the node read the caller's request. The attempt in 602, 705 and 706 counts what was sent, and after_ms of 705 is that of the attempt.

TestCallLooksYoungerThanItsRequest failed before (0.00 in place of 0.50 s).

--- a/core/cell/event.go
+++ b/core/cell/event.go
@@ -60,8 +60,8 @@
 		Job  *job.Job
 		// Attempt numbers the copies of a call that was sent again for want of an answer.
 		Attempt int
-		// Sent is when the call was sent at the earliest, and Deadline when its caller stops
-		// waiting; both are zero if they are not known.
+		// Sent is when the caller asked at the earliest, and Deadline when it stops waiting;
+		// both are zero if they are not known.
 		Sent, Deadline time.Duration
 	}
 	// CancelRequested requests that a job be cancelled.
--- a/edge/front.go
+++ b/edge/front.go
@@ -152,6 +152,7 @@
 
 // serveSubmit decodes a caller's job and submits it to the owner.
 func (p *Process) serveSubmit(ctx context.Context, w http.ResponseWriter, r *http.Request, c *fleet.Configuration, queue *fleet.Queue, team, id string) {
+	began := monotonicNow()
 	limit := c.MaxBody
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
@@ -178,7 +179,7 @@
 		ctx, cancel = context.WithTimeout(ctx, noOwnerTimeout)
 		defer cancel()
 	}
-	a, err := p.callOwnerWithRetry(ctx, ownerCall{Kind: callSubmit, Job: j})
+	a, err := p.callOwnerWithRetry(ctx, ownerCall{Kind: callSubmit, Job: j, began: began})
 	switch {
 	case errors.Is(err, errNotSent):
 		p.log.Event(event.SubmissionRefused, zap.String("job", id), zap.String("reason", "no owner was reached"))
--- a/edge/late_call_test.go
+++ b/edge/late_call_test.go
@@ -95,3 +95,19 @@
 		require.Greater(t, <-left, callerWaits/2, "after %s", quiet)
 	}
 }
+
+// TestCallLooksYoungerThanItsRequest guards against a request that was read before its job was refused at
+// another node, and is accepted by a copy that its own node sends after that.
+func TestCallLooksYoungerThanItsRequest(t *testing.T) {
+	const waited = 500 * time.Millisecond
+	sent := make(chan time.Duration, 1)
+	p := newLinkPair(t, func(_ context.Context, call ownerCall) (ownerAnswer, error) {
+		sent <- monotonicNow() - call.sent
+		return ownerAnswer{}, nil
+	})
+	p.attach()
+	p.awaitLink()
+	_, err := p.node.call(t.Context(), ownerCall{Kind: callSubmit, began: monotonicNow() - waited})
+	require.NoError(t, err)
+	require.GreaterOrEqual(t, <-sent, waited-2*time.Millisecond)
+}
--- a/edge/link_message.go
+++ b/edge/link_message.go
@@ -51,6 +51,8 @@
 		ID int64 `json:"id"`
 		// TimeoutMs is how long the node still waits for the answer when it sends the call.
 		TimeoutMs int64 `json:"timeout_ms"`
+		// AgeMs is how long before that the node has read the caller's request.
+		AgeMs int64 `json:"age_ms,omitempty"`
 		ownerCall
 	}
 	// linkAnswer is the owner's answer to a linkCall.
--- a/edge/node_link.go
+++ b/edge/node_link.go
@@ -212,7 +212,11 @@
 	now := monotonicNow()
 	m.ClockMs, m.EchoMs, m.Leaving = now.Milliseconds(), l.ownerClockMs, l.leaving
 	for i := range m.Calls {
-		m.Calls[i].TimeoutMs = (m.Calls[i].deadline - now).Milliseconds()
+		c := &m.Calls[i]
+		c.TimeoutMs = (c.deadline - now).Milliseconds()
+		if c.began != 0 {
+			c.AgeMs = (now - c.began).Milliseconds()
+		}
 	}
 	// The owner's heartbeats come first, and are answered.
 	if l.carrying {
--- a/edge/owner_call.go
+++ b/edge/owner_call.go
@@ -26,8 +26,11 @@
 	// Attempt numbers the copies of a call that is sent again for want of an answer, from 1.
 	Attempt int `json:"attempt,omitempty"`
 
-	// sent is when the call was sent at the earliest, and deadline when its caller stops
-	// waiting, on this VM's clock. Both are zero for a call from a node without a link.
+	// began is when this node read the caller's request, zero for one that changes nothing.
+	began time.Duration
+	// sent is when the node read the caller's request at the earliest, to about a
+	// millisecond, and deadline when its caller stops waiting, on this VM's clock. Both are zero for a call from a node without
+	// a link.
 	sent, deadline time.Duration
 }
 
@@ -125,8 +128,8 @@
 	ctx, cancel := context.WithTimeout(ctx, ownerCallTimeout)
 	defer cancel()
 	if record.Incarnation == p.incarnation {
-		call.sent = monotonicNow()
-		call.deadline = call.sent + timeLeft(ctx)
+		call.sent = call.began
+		call.deadline = monotonicNow() + timeLeft(ctx)
 		return p.handleOwner(ctx, call)
 	}
 	began := time.Now()
@@ -158,8 +161,9 @@
 // is safe: a job's id makes its submission and its cancellation idempotent.
 func (p *Process) callOwnerWithRetry(ctx context.Context, call ownerCall) (ownerAnswer, error) {
 	sent := false
-	for began := monotonicNow(); ; {
-		call.Attempt++
+	call.Attempt = 1
+	for {
+		began := monotonicNow()
 		record, changed := p.ownership.currentRecord()
 		a, err := p.callOwner(ctx, call)
 		if err == nil && a.Verdict != verdictNotOwner {
@@ -169,6 +173,7 @@
 			sent = true
 			p.log.Event(event.CallUnanswered, zap.String("kind", string(call.Kind)), zap.String("job", call.subject()), zap.Int("attempt", call.Attempt),
 				zap.String("owner", record.Node), zap.Int64("after_ms", (monotonicNow()-began).Milliseconds()), zap.Error(err))
+			call.Attempt++
 		}
 		t := time.NewTimer(ownerRetryInterval)
 		select {
--- a/edge/owner_link.go
+++ b/edge/owner_link.go
@@ -242,8 +242,9 @@
 				continue
 			}
 			// The node had read what the owner sent at the time that it echoes, rounded down.
-			call.sent = max(received-age, time.Duration(m.EchoMs+1)*time.Millisecond)
-			call.deadline = call.sent + min(time.Duration(call.TimeoutMs)*time.Millisecond, ownerCallTimeout)
+			sent := max(received-age, time.Duration(m.EchoMs+1)*time.Millisecond)
+			call.sent = sent - time.Duration(call.AgeMs)*time.Millisecond
+			call.deadline = sent + min(time.Duration(call.TimeoutMs)*time.Millisecond, ownerCallTimeout)
 			if call.Attempt > 1 || age > lateCallAge {
 				s.log.Event(event.CallLate, zap.String("kind", string(call.Kind)), zap.String("job", call.subject()), zap.String("peer", l.node.Name),
 					zap.Int("attempt", call.Attempt), zap.Int64("age_ms", age.Milliseconds()))
