Trace the cut messages of TestMessagesPassBothWaysAtOnce to the end of its handler

Under load the test failed with "unexpected end of JSON input", since with "connection reset by peer". Its handler returned as soon as it had received and sent all messages, while the client still read: the server closes a connection after an aborted stream at once, and resets it if bytes of the client are unread or still to come, here the two that end the last chunk. What the client has not received by then is lost.

A stream's end promises no delivery, and the links between nodes need none: they end by an abort, a call without an answer is repeated or reported as unknown, and an order without a report counts as unanswered. The doc of Accept says so now, and the handler of the test stays until the client has received all; what both ends must receive is as before.

The loss must be seen, though: TestLossAtEndOfStreamIsReported ends a handler beside unread bytes and expects whole messages, then an error that is neither a malformed message nor a clean end.

Ruled out: two writers or a reused buffer (each end sends from one goroutine, and a message is decoded before the next is read).

--- a/common/jsonstream/stream.go
+++ b/common/jsonstream/stream.go
@@ -119,6 +119,8 @@
 
 // Accept turns the request of a handler into a stream, which ends with the handler.
 // It ends before that once the peer has been silent for the given time.
+// The peer may lose what was sent before the end: closing a connection while bytes of the
+// peer are unread resets it.
 func Accept(w http.ResponseWriter, r *http.Request, silence time.Duration) (*Stream, error) {
 	c := http.NewResponseController(w)
 	if err := c.EnableFullDuplex(); err != nil {
--- a/common/jsonstream/stream_test.go
+++ b/common/jsonstream/stream_test.go
@@ -73,6 +73,8 @@
 		go func() { sent <- send(s) }()
 		served <- receive(s)
 		served <- <-sent
+		// The handler must not return before the client has received all.
+		_ = s.Receive(&testMessage{})
 	})
 	s, err := Open(t.Context(), http.DefaultClient, url, Options{Answer: testSilence, Silence: testSilence, Compress: compress})
 	require.NoError(t, err)
@@ -85,6 +87,45 @@
 	require.NoError(t, <-served)
 }
 
+// TestLossAtEndOfStreamIsReported guards against a stream that a handler ends while the
+// client still reads, and of which the client takes a cut message or a loss for the end.
+func TestLossAtEndOfStreamIsReported(t *testing.T) {
+	const count = 4
+	text := strings.Repeat("x", 500<<10)
+	returned := make(chan struct{})
+	url := serveStreams(t, testSilence, func(s *Stream) {
+		defer close(returned)
+		var m testMessage
+		if s.Receive(&m) != nil {
+			return
+		}
+		for range count {
+			if s.Send(testMessage{text}) != nil {
+				return
+			}
+		}
+	})
+	s, err := Open(t.Context(), http.DefaultClient, url, Options{Answer: testSilence, Silence: testSilence})
+	require.NoError(t, err)
+	defer s.Close()
+	require.NoError(t, s.Send(testMessage{"read"}))
+	// What the handler leaves unread resets the connection.
+	require.NoError(t, s.Send(testMessage{text}))
+	<-returned
+	received := 0
+	for {
+		var m testMessage
+		if err = s.Receive(&m); err != nil {
+			break
+		}
+		require.Equal(t, text, m.Text)
+		received++
+	}
+	var malformed *DecodeError
+	require.NotErrorAs(t, err, &malformed, "after %d messages", received)
+	require.NotErrorIs(t, err, io.EOF, "after %d messages", received)
+}
+
 // TestSilentPeerEndsStream checks at each end that a stream without messages ends.
 func TestSilentPeerEndsStream(t *testing.T) {
 	ended := make(chan error, 1)
