Never read the kernel for a request that has run out of time

A process of the owner could end or send a broken answer: a request that waited for the host for longer than its time (1.2 s) returned its answer while the host, which had got to it, wrote the job's state into the same answer. What a caller would have seen was not seen: a state is a string, so that half of it could name memory that is not there.

A reading of the kernel whose caller has given up is not run any more, and a caller waits for one that has begun. TestInspectionRunsAfterItsCallerGaveUp failed before. The readers besides handleOwner look at what was read only after a success, so that they were safe.

--- a/edge/host.go
+++ b/edge/host.go
@@ -423,18 +423,32 @@
 	}
 }
 
-// inspect runs f on the kernel between two events.
+// inspect runs f on the kernel between two events, and does not return while f runs. If it
+// returns an error before that, f is not run.
 func (h *host) inspect(ctx context.Context, f func(*cell.Kernel)) error {
-	msg := inspection{inspect: f, done: make(chan struct{})}
+	var mu sync.Mutex
+	var returned bool
+	msg := inspection{done: make(chan struct{}), inspect: func(k *cell.Kernel) {
+		mu.Lock()
+		defer mu.Unlock()
+		if !returned {
+			f(k)
+		}
+	}}
 	h.send(msg)
+	var err error
 	select {
 	case <-msg.done:
 		return nil
 	case <-ctx.Done():
-		return ctx.Err()
+		err = ctx.Err()
 	case <-h.ctx.Done():
-		return errNotOwner
+		err = errNotOwner
 	}
+	mu.Lock()
+	defer mu.Unlock()
+	returned = true
+	return err
 }
 
 // submit passes a job or a cancellation to the kernel and waits for the answer.
--- a/edge/host_test.go
+++ b/edge/host_test.go
@@ -71,6 +71,24 @@
 	require.Empty(t, deposed, "it gives up once")
 }
 
+// TestInspectionRunsAfterItsCallerGaveUp guards against a request that ran out of time and
+// whose answer is written while it is sent.
+func TestInspectionRunsAfterItsCallerGaveUp(t *testing.T) {
+	h, _ := newTestHost(t)
+	sent := make(chan inspection, 1)
+	h.pid = h.system.Root.Spawn(actor.PropsFromFunc(func(c actor.Context) {
+		if m, ok := c.Message().(inspection); ok {
+			sent <- m
+		}
+	}))
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	ran := false
+	require.Error(t, h.inspect(ctx, func(*cell.Kernel) { ran = true }))
+	h.receiveMessage(<-sent)
+	require.False(t, ran)
+}
+
 // joinTestCarrier adds a node that carries all orders of a host without own capacity.
 func joinTestCarrier(h *host, name string) *ownerLink {
 	l := &ownerLink{node: carrier.Node{Name: name, DataCentre: "dc1", Cores: 0.8}, wake: make(chan struct{}, 1)}
