Limit callers' connections and the time that they take

Clients that open connections without a request, or send requests and read no answer, used up a process's descriptors, on which the store, the peers and the executors depend: 671 and 1124 were open of 600. Nothing limited the number of connections, and only the head of a request had a deadline.

The front now takes 40 % of the sockets that the settings allow, and no more connections than fit into a quarter of the memory. When it is full, the connection that has been longest without a complete request gives way, so that a new caller still gets in. Heads, bodies, idle connections and unread answers have time limits that follow the operators' document, with twice the time that callers keep to; one look a second checks them, in place of a timer for each request. Ages are counted in looks, so that a process that was suspended reads what has arrived meanwhile before it closes anything. The address of the readiness check has the same limits at 64 connections, and the peers' servers get an idle timeout beyond that of their clients.

Ruled out: a limit without giving way, since silent connections would then keep callers out for as long as they may be idle.

--- a/commands/edge.go
+++ b/commands/edge.go
@@ -86,7 +86,7 @@
 		Peer:                net.JoinHostPort(settings.IP, strconv.Itoa(settings.PortRange[0])),
 		MaxConfigurationAge: settings.Bounds.MaxConfigurationAge(),
 		Kernel:              kernelSettings, Cores: settings.Limits.CPUShare * settings.Limits.Cores,
-		SlowLink: slowLink,
+		SlowLink: slowLink, MemoryBytes: settings.Limits.MemoryMb << 20, MaxFiles: settings.Limits.MaxFds,
 	}, edge.Dependencies{
 		Store: store,
 		Executors: &platform.ExecutorClient{
--- a/core/event/platform.go
+++ b/core/event/platform.go
@@ -79,6 +79,7 @@
 	RecordSkipped         Number = 747
 	EndedJobsLoaded       Number = 748
 	WriteRejected         Number = 749
+	ConnectionsClosed     Number = 751
 	ConnectionsDiscarded  Number = 761
 )
 
@@ -161,6 +162,7 @@
 		EndedJobsLoaded:       "the owner knows all jobs that ended under earlier owners",
 		ConnectionsDiscarded:  "a call on a kept connection got no answer; the idle connections to the same address that brought nothing since are closed",
 		WriteRejected:         "the store rejects a record for its form or size; its job is refused or fails, and all other writes go on",
+		ConnectionsClosed:     "connections were closed whose clients did not use them in time, or to make room for others",
 	} {
 		Catalogue[n] = text
 	}
@@ -170,6 +172,7 @@
 // violations: an operator should look at each of them.
 var warnings = map[Number]bool{
 	RunLost:              true,
+	ConnectionsClosed:    true,
 	ExecutorLost:         true,
 	RecordSkipped:        true,
 	TaskGivenUp:          true,
--- a/core/fleet/configuration.go
+++ b/core/fleet/configuration.go
@@ -16,6 +16,11 @@
 	Teams   []Team
 	// MaxBody is the largest request body in bytes, zero for no limit.
 	MaxBody int64
+	// MaxHead is the largest head of a request in bytes, HeadTimeout how long a caller
+	// may take to send it, and IdleTimeout how long a connection may wait for the next
+	// request; zero means that the operators set no limit.
+	MaxHead                  int64
+	HeadTimeout, IdleTimeout time.Duration
 
 	queuesByHost map[string][]*Queue
 	queuesByName map[string]*Queue
--- a/edge/call_metrics.go
+++ b/edge/call_metrics.go
@@ -51,6 +51,14 @@
 	m.Counter(name).Inc(1)
 }
 
+// countClosed counts connections to a listener that were closed for a reason.
+func (m *CallMetrics) countClosed(listener, reason string, n int64) {
+	if m == nil || m.Metrics == nil {
+		return
+	}
+	m.Tagged(map[string]string{"listener": listener, "reason": reason}).Counter("connections_closed").Inc(n)
+}
+
 // handler returns the HTTP handler that serves the metrics as text.
 func (m *CallMetrics) handler() http.Handler {
 	if m == nil || m.Metrics == nil {
--- a/edge/front.go
+++ b/edge/front.go
@@ -50,6 +50,11 @@
 func (p *Process) serveCaller(w http.ResponseWriter, r *http.Request) {
 	began := time.Now()
 	sw := &statusRecorder{ResponseWriter: w, status: http.StatusOK}
+	if conn := clientConnOf(r); r.ContentLength == 0 {
+		conn.beginServing()
+	} else {
+		conn.beginBody(callerTimeout(r))
+	}
 	p.routeRequest(sw, r)
 	p.metrics.recordCall("caller", strconv.Itoa(sw.status), time.Since(began))
 }
@@ -167,6 +172,7 @@
 		http.Error(w, err.Error(), status)
 		return
 	}
+	clientConnOf(r).beginServing()
 	j, err := p.codec.DecodeJob(id, body)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
--- a/edge/process.go
+++ b/edge/process.go
@@ -29,6 +29,8 @@
 	nodeLeaseTTL      = 10 * time.Second
 	nodeRenewInterval = 3 * time.Second
 	readHeaderTimeout = 10 * time.Second
+	// peerIdleTimeout is longer than peers keep idle connections.
+	peerIdleTimeout = 3 * time.Minute
 	// balancerNoticeDelay is how long the load balancer may need to notice that a node
 	// is not ready: two checks a second apart, and the network delay.
 	balancerNoticeDelay = 2300 * time.Millisecond
@@ -52,6 +54,10 @@
 	// SlowLink is set if the VM's network is so slow that messages between nodes are
 	// compressed.
 	SlowLink bool
+	// MemoryBytes is the memory that the process may use, and MaxFiles the number of
+	// descriptors that it may have open; zero means that they are not known.
+	MemoryBytes int64
+	MaxFiles    int
 }
 
 // Dependencies holds what a process calls.
@@ -87,6 +93,9 @@
 	link  atomic.Pointer[nodeLink]
 	// unlinkable is the last owner to which no link could be opened.
 	unlinkable atomic.Pointer[ownerRecord]
+	// callers and readyChecks limit the connections to the front and to the readiness
+	// check.
+	callers, readyChecks clientConns
 
 	configuration atomic.Pointer[fleet.Configuration]
 	// configurationReadAt is how new the configuration is at least, in nanoseconds of
@@ -112,6 +121,8 @@
 			return slog.New(slog.DiscardHandler)
 		})),
 	}
+	p.callers = clientConns{name: "front", max: newProcessLimits(s.MemoryBytes, s.MaxFiles).callerConns, limits: p.callerLimits, log: d.Log, metrics: d.Metrics}
+	p.readyChecks = clientConns{name: "ready", max: maxReadyConns, limits: defaultClientLimits, log: d.Log, metrics: d.Metrics}
 	p.links = linkSet{incarnation: p.incarnation, log: d.Log, handle: p.handleOwner}
 	p.ownership.links, p.ownership.peers = &p.links, p.listPeers
 	if d.Relay != nil {
@@ -132,7 +143,7 @@
 func (p *Process) Run(ctx context.Context) error {
 	var group run.Group
 	work, stopWork := context.WithCancel(context.Background())
-	for _, loop := range []func(context.Context){p.watchOperatorState, p.watchLiveNodes, p.keepRegistered, p.confirmOutages, p.keepLink, p.ownership.run} {
+	for _, loop := range []func(context.Context){p.watchOperatorState, p.watchLiveNodes, p.keepRegistered, p.confirmOutages, p.keepLink, p.ownership.run, p.callers.run, p.readyChecks.run} {
 		c, cancel := context.WithCancel(work)
 		group.Add(func() error { keepRunning(c, p.log, loop); return nil }, func(error) { cancel() })
 	}
@@ -194,12 +205,20 @@
 	for _, l := range []struct {
 		address string
 		handler http.Handler
-	}{{p.settings.Front, http.HandlerFunc(p.serveCaller)}, {p.settings.Ready, ready}, {p.settings.Peer, peer}} {
+		conns   *clientConns
+	}{{p.settings.Front, http.HandlerFunc(p.serveCaller), &p.callers}, {p.settings.Ready, ready, &p.readyChecks}, {p.settings.Peer, peer, nil}} {
 		listener, err := net.Listen("tcp", l.address)
 		if err != nil {
 			return nil, err
 		}
-		all = append(all, listeningServer{&http.Server{Handler: l.handler, ReadHeaderTimeout: readHeaderTimeout}, listener})
+		server := &http.Server{Handler: l.handler}
+		if l.conns != nil {
+			listener = limitedListener{listener, l.conns}
+			l.conns.attach(server)
+		} else {
+			server.ReadHeaderTimeout, server.IdleTimeout = readHeaderTimeout, peerIdleTimeout
+		}
+		all = append(all, listeningServer{server, listener})
 	}
 	return all, nil
 }
