Limit the size and the memory of the heads of requests

The connection counts the bytes and the lines of a head as they pass. A head over headerBytes of the operators' document is answered with 431. The memory that heads take beyond 8 KB each comes from one budget of the process, an eighth of its memory; what does not fit gets 503 with Retry-After before the body is read. The header of a submission is dropped once the queue and the team are known, so that no body waits with it. The address of the readiness check takes heads of 8 KB, that of peers of 64 KB.

Ruled out: a limit on the number of lines, since any number is legal; http.Server's MaxHeaderBytes for callers, which cannot follow the operators' document.

--- a/core/event/platform.go
+++ b/core/event/platform.go
@@ -80,6 +80,7 @@
 	EndedJobsLoaded       Number = 748
 	WriteRejected         Number = 749
 	ConnectionsClosed     Number = 751
+	RequestsRefused       Number = 752
 	ConnectionsDiscarded  Number = 761
 )
 
@@ -163,6 +164,7 @@
 		ConnectionsDiscarded:  "a call on a kept connection got no answer; the idle connections to the same address that brought nothing since are closed",
 		WriteRejected:         "the store rejects a record for its form or size; its job is refused or fails, and all other writes go on",
 		ConnectionsClosed:     "connections were closed whose clients did not use them in time, or to make room for others",
+		RequestsRefused:       "requests were refused before their bodies were read since there is no memory for them",
 	} {
 		Catalogue[n] = text
 	}
@@ -173,6 +175,7 @@
 var warnings = map[Number]bool{
 	RunLost:              true,
 	ConnectionsClosed:    true,
+	RequestsRefused:      true,
 	ExecutorLost:         true,
 	RecordSkipped:        true,
 	TaskGivenUp:          true,
--- a/edge/call_metrics.go
+++ b/edge/call_metrics.go
@@ -51,12 +51,13 @@
 	m.Counter(name).Inc(1)
 }
 
-// countClosed counts connections to a listener that were closed for a reason.
-func (m *CallMetrics) countClosed(listener, reason string, n int64) {
+// countTurnedAway counts connections to a listener that were closed, and requests that were
+// refused for want of memory, by their reason.
+func (m *CallMetrics) countTurnedAway(listener, reason string, n int64) {
 	if m == nil || m.Metrics == nil {
 		return
 	}
-	m.Tagged(map[string]string{"listener": listener, "reason": reason}).Counter("connections_closed").Inc(n)
+	m.Tagged(map[string]string{"listener": listener, "reason": reason}).Counter("clients_turned_away").Inc(n)
 }
 
 // handler returns the HTTP handler that serves the metrics as text.
--- a/edge/client_conns.go
+++ b/edge/client_conns.go
@@ -38,11 +38,20 @@
 	// headTime is the time for the head of a request, and idleTime the time between two
 	// requests and for reading an answer.
 	headTime, idleTime time.Duration
+	// headBytes is the largest head of a request.
+	headBytes int64
 }
 
 // defaultClientLimits returns the limits while the operators have set none.
 func defaultClientLimits() clientLimits {
-	return clientLimits{headTime: defaultHeadTimeout, idleTime: defaultIdleTimeout}
+	return clientLimits{headTime: defaultHeadTimeout, idleTime: defaultIdleTimeout, headBytes: defaultHeadBytes}
+}
+
+// readyLimits returns the limits on readiness checks.
+func readyLimits() clientLimits {
+	l := defaultClientLimits()
+	l.headBytes = maxReadyHeadBytes
+	return l
 }
 
 // callerLimits returns the limits that callers keep to.
@@ -51,6 +60,7 @@
 	if c := p.configuration.Load(); c != nil {
 		l.headTime = positiveOr(c.HeadTimeout, l.headTime)
 		l.idleTime = positiveOr(c.IdleTimeout, l.idleTime)
+		l.headBytes = positiveOr(c.MaxHead, l.headBytes)
 	}
 	return l
 }
@@ -69,6 +79,7 @@
 	name    string
 	max     int
 	limits  func() clientLimits
+	memory  *memoryBudget
 	log     *eventlog.Log
 	metrics *CallMetrics
 	// looks counts the looks for overdue connections.
@@ -82,18 +93,37 @@
 	closed  map[closeReason]int64
 }
 
-// closeReason is why a connection was closed.
+// closeReason is why a connection was closed or a request refused.
 type closeReason string
 
 const (
-	closedForOthers closeReason = "gave way to a new connection"
-	closedAsFull    closeReason = "all connections have requests in progress"
-	closedHeadLate  closeReason = "the head of a request did not come in time"
-	closedBodyLate  closeReason = "the body of a request did not come in time"
-	closedIdle      closeReason = "no request came"
-	closedUnread    closeReason = "an answer was not read"
+	closedForOthers   closeReason = "gave way to a new connection"
+	closedAsFull      closeReason = "all connections have requests in progress"
+	closedHeadLate    closeReason = "the head of a request did not come in time"
+	closedBodyLate    closeReason = "the body of a request did not come in time"
+	closedIdle        closeReason = "no request came"
+	closedUnread      closeReason = "an answer was not read"
+	closedHeadSize    closeReason = "the head of a request is too large"
+	refusedHeadMemory closeReason = "no memory for the head of a request"
 )
 
+// isRefusal reports whether requests were refused for want of memory.
+func (r closeReason) isRefusal() bool { return r == refusedHeadMemory }
+
+// count counts a closed connection or a refused request.
+func (s *clientConns) count(reason closeReason) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.countLocked(reason)
+}
+
+func (s *clientConns) countLocked(reason closeReason) {
+	if s.closed == nil {
+		s.closed = map[closeReason]int64{}
+	}
+	s.closed[reason]++
+}
+
 // phase is what a connection is used for.
 type phase int32
 
@@ -114,6 +144,7 @@
 	since, bodyLooks atomic.Int64
 	// writingSince is the look at which a write began plus one, zero without a write.
 	writingSince atomic.Int64
+	head         requestHead
 	// element is the connection's place in clientConns.waiting, whose lock guards it.
 	element *list.Element
 }
@@ -146,12 +177,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.open == nil {
-		s.open, s.closed = map[*clientConn]bool{}, map[closeReason]int64{}
+		s.open = map[*clientConn]bool{}
 	}
 	if len(s.open) >= s.max {
 		oldest := s.waiting.Front()
 		if oldest == nil {
-			s.closed[closedAsFull]++
+			s.countLocked(closedAsFull)
 			return nil
 		}
 		s.closeLocked(oldest.Value.(*clientConn), closedForOthers)
@@ -163,7 +194,7 @@
 
 // closeLocked closes a connection for a reason.
 func (s *clientConns) closeLocked(c *clientConn, reason closeReason) {
-	s.closed[reason]++
+	s.countLocked(reason)
 	s.forgetLocked(c)
 	c.Conn.Close()
 }
@@ -197,14 +228,16 @@
 		}
 	}
 	open, closed := len(s.open), s.closed
-	if len(closed) > 0 {
-		s.closed = map[closeReason]int64{}
-	}
+	s.closed = nil
 	s.mu.Unlock()
 	for _, reason := range slices.Sorted(maps.Keys(closed)) {
-		s.metrics.countClosed(s.name, string(reason), closed[reason])
+		s.metrics.countTurnedAway(s.name, string(reason), closed[reason])
 		if reason != closedIdle {
-			s.log.Event(event.ConnectionsClosed, zap.String("listener", s.name), zap.String("reason", string(reason)), zap.Int64("count", closed[reason]), zap.Int("open", open))
+			number := event.ConnectionsClosed
+			if reason.isRefusal() {
+				number = event.RequestsRefused
+			}
+			s.log.Event(number, zap.String("listener", s.name), zap.String("reason", string(reason)), zap.Int64("count", closed[reason]), zap.Int("open", open))
 		}
 	}
 }
@@ -247,8 +280,15 @@
 // Read implements net.Conn.
 func (c *clientConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n > 0 && phase(c.phase.Load()) == phaseIdle {
-		c.begin(phaseHead)
+	if n == 0 || phase(c.phase.Load()) > phaseHead {
+		return n, err
+	}
+	// The server may already look for the end of the connection while it serves a request.
+	if c.phase.CompareAndSwap(int32(phaseIdle), int32(phaseHead)) {
+		c.since.Store(c.conns.looks.Load())
+	}
+	if reason, answer := c.addHead(p[:n]); reason != "" {
+		return 0, c.refuseHead(reason, answer)
 	}
 	return n, err
 }
@@ -265,6 +305,7 @@
 	c.conns.mu.Lock()
 	c.conns.forgetLocked(c)
 	c.conns.mu.Unlock()
+	c.releaseHead(true)
 	return c.Conn.Close()
 }
 
--- a/edge/client_conns_test.go
+++ b/edge/client_conns_test.go
@@ -13,8 +13,8 @@
 
 // newTestConns returns clientConns for at most max connections, and a function that opens one.
 func newTestConns(max int) (*clientConns, func() *clientConn) {
-	s := &clientConns{max: max, log: eventlog.Nop(), limits: func() clientLimits {
-		return clientLimits{headTime: 3 * time.Second, idleTime: 15 * time.Second}
+	s := &clientConns{max: max, log: eventlog.Nop(), memory: &memoryBudget{limit: 64 << 10}, limits: func() clientLimits {
+		return clientLimits{headTime: 3 * time.Second, idleTime: 15 * time.Second, headBytes: 16 << 10}
 	}}
 	return s, func() *clientConn {
 		inner, _ := net.Pipe()
--- a/edge/front.go
+++ b/edge/front.go
@@ -50,12 +50,18 @@
 func (p *Process) serveCaller(w http.ResponseWriter, r *http.Request) {
 	began := time.Now()
 	sw := &statusRecorder{ResponseWriter: w, status: http.StatusOK}
-	if conn := clientConnOf(r); r.ContentLength == 0 {
+	conn := clientConnOf(r)
+	if r.ContentLength == 0 {
 		conn.beginServing()
 	} else {
 		conn.beginBody(callerTimeout(r))
 	}
-	p.routeRequest(sw, r)
+	if conn.headRead(r) {
+		p.routeRequest(sw, r)
+	} else {
+		p.refuseForMemory(sw, refusedHeadMemory)
+	}
+	conn.dropHead(r)
 	p.metrics.recordCall("caller", strconv.Itoa(sw.status), time.Since(began))
 }
 
@@ -155,9 +161,19 @@
 	http.Error(w, reason, status)
 }
 
+// refuseForMemory refuses a request for which there is no memory, and closes its connection
+// rather than to read the rest of the request.
+func (p *Process) refuseForMemory(w http.ResponseWriter, reason closeReason) {
+	p.callers.count(reason)
+	w.Header().Set("Connection", "close")
+	p.refuse(w, http.StatusServiceUnavailable, defaultRetryAfter, string(reason))
+}
+
 // serveSubmit decodes a caller's job and submits it to the owner.
 func (p *Process) serveSubmit(ctx context.Context, w http.ResponseWriter, r *http.Request, c *fleet.Configuration, queue *fleet.Queue, team, id string) {
 	began := monotonicNow()
+	conn := clientConnOf(r)
+	conn.dropHead(r)
 	limit := c.MaxBody
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
@@ -172,7 +188,7 @@
 		http.Error(w, err.Error(), status)
 		return
 	}
-	clientConnOf(r).beginServing()
+	conn.beginServing()
 	j, err := p.codec.DecodeJob(id, body)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
--- a/edge/process.go
+++ b/edge/process.go
@@ -30,7 +30,8 @@
 	nodeRenewInterval = 3 * time.Second
 	readHeaderTimeout = 10 * time.Second
 	// peerIdleTimeout is longer than peers keep idle connections.
-	peerIdleTimeout = 3 * time.Minute
+	peerIdleTimeout  = 3 * time.Minute
+	maxPeerHeadBytes = 64 << 10
 	// balancerNoticeDelay is how long the load balancer may need to notice that a node
 	// is not ready: two checks a second apart, and the network delay.
 	balancerNoticeDelay = 2300 * time.Millisecond
@@ -96,6 +97,7 @@
 	// callers and readyChecks limit the connections to the front and to the readiness
 	// check.
 	callers, readyChecks clientConns
+	memory               memoryBudget
 
 	configuration atomic.Pointer[fleet.Configuration]
 	// configurationReadAt is how new the configuration is at least, in nanoseconds of
@@ -121,8 +123,10 @@
 			return slog.New(slog.DiscardHandler)
 		})),
 	}
-	p.callers = clientConns{name: "front", max: newProcessLimits(s.MemoryBytes, s.MaxFiles).callerConns, limits: p.callerLimits, log: d.Log, metrics: d.Metrics}
-	p.readyChecks = clientConns{name: "ready", max: maxReadyConns, limits: defaultClientLimits, log: d.Log, metrics: d.Metrics}
+	limits := newProcessLimits(s.MemoryBytes, s.MaxFiles)
+	p.memory.limit = limits.requestBytes
+	p.callers = clientConns{name: "front", max: limits.callerConns, limits: p.callerLimits, memory: &p.memory, log: d.Log, metrics: d.Metrics}
+	p.readyChecks = clientConns{name: "ready", max: maxReadyConns, limits: readyLimits, memory: &p.memory, log: d.Log, metrics: d.Metrics}
 	p.links = linkSet{incarnation: p.incarnation, log: d.Log, handle: p.handleOwner}
 	p.ownership.links, p.ownership.peers = &p.links, p.listPeers
 	if d.Relay != nil {
@@ -216,7 +220,7 @@
 			listener = limitedListener{listener, l.conns}
 			l.conns.attach(server)
 		} else {
-			server.ReadHeaderTimeout, server.IdleTimeout = readHeaderTimeout, peerIdleTimeout
+			server.ReadHeaderTimeout, server.IdleTimeout, server.MaxHeaderBytes = readHeaderTimeout, peerIdleTimeout, maxPeerHeadBytes
 		}
 		all = append(all, listeningServer{server, listener})
 	}
--- a/edge/process_limits.go
+++ b/edge/process_limits.go
@@ -15,6 +15,8 @@
 	connMemoryDivisor = 4
 	// connBytes is the memory that a connection may use without a reservation.
 	connBytes = 64 << 10
+	// requestMemoryDivisor times the memory of all requests beyond that is the process's.
+	requestMemoryDivisor = 8
 	// maxReadyConns limits the connections to the address of the readiness check.
 	maxReadyConns = 64
 )
@@ -23,6 +25,8 @@
 type processLimits struct {
 	// callerConns is the number of connections of callers.
 	callerConns int
+	// requestBytes is the memory of all requests beyond what each connection may use.
+	requestBytes int64
 }
 
 // newProcessLimits returns the limits of a process that may use the given memory and number
@@ -35,6 +39,7 @@
 		maxFiles = defaultMaxFiles
 	}
 	return processLimits{
-		callerConns: int(min(int64(maxFiles-reservedFiles)*callerFilesPermille/1000, memoryBytes/connMemoryDivisor/connBytes)),
+		requestBytes: memoryBytes / requestMemoryDivisor,
+		callerConns:  int(min(int64(maxFiles-reservedFiles)*callerFilesPermille/1000, memoryBytes/connMemoryDivisor/connBytes)),
 	}
 }
