Limit the memory of the bodies of requests

Bodies of legal size were read into memory whatever others were there, and stayed for as long as their last byte did not come: 400 connections used 241, 202 and 248 MB of 96, with bodies that came whole, piece by piece, and in chunks of a byte.

Bodies over 16 KB now take their announced size, or the largest legal one if they announce none, from the budget of the process. What does not fit gets 503 with Retry-After before the body is read, and its connection is closed; small bodies need no reservation, so that ordinary callers are served beside such a crowd. A body is read into memory of its own size instead of one that grows. One that announces more than bodyBytes is answered with 413 unread.

Ruled out: reservations that grow with what has arrived, under which many bodies would wait for each other.

--- a/edge/client_conns.go
+++ b/edge/client_conns.go
@@ -105,10 +105,11 @@
 	closedUnread      closeReason = "an answer was not read"
 	closedHeadSize    closeReason = "the head of a request is too large"
 	refusedHeadMemory closeReason = "no memory for the head of a request"
+	refusedBodyMemory closeReason = "no memory for the body of a request"
 )
 
 // isRefusal reports whether requests were refused for want of memory.
-func (r closeReason) isRefusal() bool { return r == refusedHeadMemory }
+func (r closeReason) isRefusal() bool { return r == refusedHeadMemory || r == refusedBodyMemory }
 
 // count counts a closed connection or a refused request.
 func (s *clientConns) count(reason closeReason) {
--- a/edge/front.go
+++ b/edge/front.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -178,14 +177,10 @@
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	body, reserved, err := p.readBody(r, limit)
+	defer func() { p.memory.release(reserved) }()
 	if err != nil {
-		status := http.StatusBadRequest
-		var large *http.MaxBytesError
-		if errors.As(err, &large) {
-			status = http.StatusRequestEntityTooLarge
-		}
-		http.Error(w, err.Error(), status)
+		p.refuseBody(w, conn, err)
 		return
 	}
 	conn.beginServing()
