--- a/edge/client_conns.go
+++ b/edge/client_conns.go
@@ -106,10 +106,13 @@
 	closedHeadSize    closeReason = "the head of a request is too large"
 	refusedHeadMemory closeReason = "no memory for the head of a request"
 	refusedBodyMemory closeReason = "no memory for the body of a request"
+	refusedJobMemory  closeReason = "no memory for the job of a request"
 )
 
 // isRefusal reports whether requests were refused for want of memory.
-func (r closeReason) isRefusal() bool { return r == refusedHeadMemory || r == refusedBodyMemory }
+func (r closeReason) isRefusal() bool {
+	return r == refusedHeadMemory || r == refusedBodyMemory || r == refusedJobMemory
+}
 
 // count counts a closed connection or a refused request.
 func (s *clientConns) count(reason closeReason) {
--- a/edge/front.go
+++ b/edge/front.go
@@ -184,8 +184,13 @@
 		return
 	}
 	conn.beginServing()
-	j, err := p.codec.DecodeJob(id, body)
-	if err != nil {
+	j, decoded, err := p.decodeJob(id, body)
+	defer func() { p.memory.release(decoded) }()
+	switch {
+	case errors.Is(err, errNoBodyMemory):
+		p.refuseForMemory(w, refusedJobMemory)
+		return
+	case err != nil:
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
--- a/edge/request_body.go
+++ b/edge/request_body.go
@@ -1,16 +1,25 @@
 package edge
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"time"
+
+	"jacinthwind/core/job"
 )
 
 const (
 	// freeBodyBytes is the size up to which a body is read without a reservation.
 	freeBodyBytes = 16 << 10
+	// decodedStepBytes and decodedValueBytes are the memory that a step and any other value
+	// take once they are decoded, and freeDecodedBytes what a job may take without a
+	// reservation.
+	decodedStepBytes  = 512
+	decodedValueBytes = 16
+	freeDecodedBytes  = 40 << 10
 	// refusedBodyTime is how long the rest of a refused request is read, so that its
 	// caller reads the answer.
 	refusedBodyTime = time.Second
@@ -67,6 +76,25 @@
 	return nil, limit, errBodyTooLarge
 }
 
+// decodedBytes returns an upper limit of the memory that a job takes beside its text, from the
+// number of the values in its body.
+func decodedBytes(body []byte) int64 {
+	values := int64(bytes.Count(body, []byte{','})) + 1
+	return min(values, job.MaxSteps)*decodedStepBytes + values*decodedValueBytes
+}
+
+// decodeJob decodes a caller's job. It returns how many bytes of the process's memory it has
+// reserved, which the caller releases.
+func (p *Process) decodeJob(id string, body []byte) (j *job.Job, reserved int64, err error) {
+	if reserved = decodedBytes(body); reserved <= freeDecodedBytes {
+		reserved = 0
+	} else if !p.memory.reserve(reserved) {
+		return nil, 0, errNoBodyMemory
+	}
+	j, err = p.codec.DecodeJob(id, body)
+	return j, reserved, err
+}
+
 // refuseBody answers a request whose body was not read, and closes its connection.
 func (p *Process) refuseBody(w http.ResponseWriter, conn *clientConn, err error) {
 	w.Header().Set("Connection", "close")
