Refuse jobs for which the owner has no memory

An owner keeps every task of its open jobs, up to 100,000 of one job, and accepts scheduled and lasting jobs however many it has: 24 jobs of the largest legal forms, some in bodies of a hundred bytes, used 363 MB of 96. They would have ended each owner that loads them next.

The kernel estimates the memory of each job from its steps, occurrences and tasks, and refuses jobs beyond 45 % of the process's memory with 429 and Retry-After, or without it if the job alone would need more. A next owner counts what it loads and never drops what was accepted. The state dump shows the sum as job_bytes.

Ruled out: a lower limit on the tasks of a job, since jobs of 1,440 occurrences with 24 tasks are usual; 13 of these fit at 284 MB.

--- a/core/cell/dump.go
+++ b/core/cell/dump.go
@@ -15,16 +15,18 @@
 	Token int64 `json:"token"`
 	// LeaseProvedMs is for how long the lease still proves the ownership, in
 	// milliseconds.
-	LeaseProvedMs int64                   `json:"proved_ms"`
-	Recovering    bool                    `json:"recovering"`
-	Configuration int64                   `json:"configuration"`
-	Unstored      int                     `json:"unstored"`
-	Pools         []PoolDump              `json:"pools"`
-	Executors     []ExecutorDump          `json:"executors"`
-	Jobs          []JobDump               `json:"jobs"`
-	Usage         map[string]fleet.Vector `json:"usage"`
-	Waves         []WaveDump              `json:"waves"`
-	VMs           []VMDump                `json:"vms"`
+	LeaseProvedMs int64 `json:"proved_ms"`
+	Recovering    bool  `json:"recovering"`
+	Configuration int64 `json:"configuration"`
+	Unstored      int   `json:"unstored"`
+	// JobBytes estimates the memory that all jobs take.
+	JobBytes  int64                   `json:"job_bytes"`
+	Pools     []PoolDump              `json:"pools"`
+	Executors []ExecutorDump          `json:"executors"`
+	Jobs      []JobDump               `json:"jobs"`
+	Usage     map[string]fleet.Vector `json:"usage"`
+	Waves     []WaveDump              `json:"waves"`
+	VMs       []VMDump                `json:"vms"`
 	// VMsAgeMs is the age of the list of VMs in milliseconds.
 	VMsAgeMs  int64    `json:"vms_age_ms"`
 	Evacuated []string `json:"evacuated"`
@@ -96,7 +98,7 @@
 func (k *Kernel) Dump(now Now) Dump {
 	d := Dump{
 		Token: k.Token, LeaseProvedMs: (k.leaseUntil - now.Monotonic).Milliseconds(), Recovering: k.recovering,
-		Configuration: k.config.Version, Unstored: len(k.outbox.dirty) + len(k.outbox.inFlightBatch.jobs),
+		Configuration: k.config.Version, Unstored: len(k.outbox.dirty) + len(k.outbox.inFlightBatch.jobs), JobBytes: k.heldBytes,
 		Usage: maps.Clone(k.teamUsage), VMsAgeMs: (now.Monotonic - k.vmsListedAt).Milliseconds(),
 		Evacuated: slices.Sorted(maps.Keys(k.evacuated)),
 	}
--- a/core/cell/kernel.go
+++ b/core/cell/kernel.go
@@ -44,6 +44,8 @@
 	// MaxRecordBytes is the size of the largest value that the store takes, zero if it is
 	// not known.
 	MaxRecordBytes int
+	// MaxJobBytes is the memory that all jobs may take, zero for no limit.
+	MaxJobBytes int64
 }
 
 // Timing of deadlines, writes and stops.
@@ -85,7 +87,9 @@
 	outageUntil time.Duration
 	config      *fleet.Configuration
 
-	jobs      map[string]*jobState
+	jobs map[string]*jobState
+	// heldBytes is the memory that the jobs take.
+	heldBytes int64
 	executors map[string]*executor
 	// executorOrder holds the executors in the order of their ids. executorsByPool
 	// divides them. largest is the largest capacity that any of them has had, per
@@ -361,6 +365,7 @@
 		if !j.visibleState.IsFinal() || j.dirty || ago < 2*k.EndedJobRetention {
 			continue
 		}
+		k.accountJob(j, 0)
 		delete(k.jobs, id)
 		k.outbox.removedJobs = append(k.outbox.removedJobs, RemovedJob{id, j.parts})
 	}
--- a/core/cell/outbox.go
+++ b/core/cell/outbox.go
@@ -154,6 +154,7 @@
 	}
 	k.markStarted(j)
 	k.closeJob(j)
+	k.accountJob(j, 0)
 	delete(k.jobs, j.ID)
 	delete(k.outbox.dirty, j.ID)
 }
@@ -180,6 +181,7 @@
 	if !j.dirty && j.state.IsFinal() {
 		j.visibleState = j.state
 		j.Job, j.steps = j.Ended(), nil
+		k.accountJob(j, endedJobBytes)
 	}
 }
 
--- a/core/cell/recover.go
+++ b/core/cell/recover.go
@@ -85,6 +85,7 @@
 				Job: &job.Job{ID: e.ID}, state: e.State, visibleState: e.State, stored: true, started: true,
 				endedMs: e.EndedMs, arrivedAt: k.now.Monotonic, parts: e.Parts,
 			}
+			k.accountJob(k.jobs[e.ID], endedJobBytes)
 		case e.State == "":
 			k.LoadUnreadableJob(e.ID)
 		}
--- a/core/cell/state.go
+++ b/core/cell/state.go
@@ -34,6 +34,8 @@
 	remainingWork int64
 	queue         *fleet.Queue
 	dirty         bool
+	// heldBytes is the part of Kernel.heldBytes that the job takes.
+	heldBytes int64
 	// partTasks is the number of tasks whose progress one of the parts holds, zero if all
 	// is stored in one record. dirtyParts holds the numbers of those that have changed.
 	partTasks, parts int
--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -75,6 +75,9 @@
 	if k.storeUnresponsive() && a.Verdict != Unservable {
 		a = Answer{Verdict: Refused, RetryAfter: storeRetryAfter, Reason: "the store does not answer"}
 	}
+	if a.Verdict == Accepted {
+		a = k.admitToMemory(e.Job)
+	}
 	if a.Verdict != Accepted {
 		k.refuseJob(e, firstTry, a)
 		return
@@ -287,9 +290,11 @@
 	j.due = j.arrivedAt + objective
 	k.jobs[spec.ID] = j
 	if p.State.IsFinal() {
+		k.accountJob(j, endedJobBytes)
 		j.stored, j.started, j.parts = true, true, p.Parts
 		return j
 	}
+	k.accountJob(j, jobBytes(spec))
 	j.partTasks = cmp.Or(p.PartTasks, k.PartTasks, job.DefaultPartTasks)
 	if j.parts = spec.PartCount(j.partTasks); j.parts == 0 {
 		j.partTasks = 0
--- a/edge/process.go
+++ b/edge/process.go
@@ -114,6 +114,8 @@
 		settings: s, incarnation: uuid.NewString(), store: d.Store, codec: d.Codec,
 		relay: d.Relay, peerClient: d.PeerClient, log: d.Log, metrics: d.Metrics,
 	}
+	limits := newProcessLimits(s.MemoryBytes, s.MaxFiles)
+	s.Kernel.MaxJobBytes = limits.jobBytes
 	p.ownership = &ownership{
 		reportValidUntil: p.outage.reportValidUntil, cutOff: func() bool { return false }, received: func() int64 { return 0 },
 		self:  ownerRecord{Node: s.Node, Incarnation: p.incarnation, Address: s.Peer, Links: true},
@@ -123,7 +125,6 @@
 			return slog.New(slog.DiscardHandler)
 		})),
 	}
-	limits := newProcessLimits(s.MemoryBytes, s.MaxFiles)
 	p.memory.limit = limits.requestBytes
 	p.callers = clientConns{name: "front", max: limits.callerConns, limits: p.callerLimits, memory: &p.memory, log: d.Log, metrics: d.Metrics}
 	p.readyChecks = clientConns{name: "ready", max: maxReadyConns, limits: readyLimits, memory: &p.memory, log: d.Log, metrics: d.Metrics}
--- a/edge/process_limits.go
+++ b/edge/process_limits.go
@@ -17,6 +17,9 @@
 	connBytes = 64 << 10
 	// requestMemoryDivisor times the memory of all requests beyond that is the process's.
 	requestMemoryDivisor = 8
+	// jobMemoryPermille is the part of the memory that the owner's jobs may take, in
+	// thousandths.
+	jobMemoryPermille = 450
 	// maxReadyConns limits the connections to the address of the readiness check.
 	maxReadyConns = 64
 )
@@ -27,6 +30,8 @@
 	callerConns int
 	// requestBytes is the memory of all requests beyond what each connection may use.
 	requestBytes int64
+	// jobBytes is the memory of all jobs while this node is the owner.
+	jobBytes int64
 }
 
 // newProcessLimits returns the limits of a process that may use the given memory and number
@@ -40,6 +45,7 @@
 	}
 	return processLimits{
 		requestBytes: memoryBytes / requestMemoryDivisor,
+		jobBytes:     memoryBytes / 1000 * jobMemoryPermille,
 		callerConns:  int(min(int64(maxFiles-reservedFiles)*callerFilesPermille/1000, memoryBytes/connMemoryDivisor/connBytes)),
 	}
 }
