Limit the reads of the store that callers' requests make at once

Each request for the state of a job that the owner does not know, while it loads the ended jobs, or that finds no owner, opens a connection to the store if all others are busy: with 160 connections of callers, 487 descriptors of 600 were open, of which the callers' own limit knows nothing.

A tenth of the sockets may be in use for such reads; other requests wait for one, within their own time. The owner's renewals, writes and watches do not wait with them.

--- a/edge/ended_jobs.go
+++ b/edge/ended_jobs.go
@@ -119,7 +119,11 @@
 	if err := h.inspect(ctx, func(k *cell.Kernel) { _, known = k.JobState(id) }); err != nil || known {
 		return err
 	}
-	item, err := h.store.Get(ctx, prefixProgress+id)
+	var item core.Item
+	err := h.lookups.do(ctx, func() (err error) {
+		item, err = h.store.Get(ctx, prefixProgress+id)
+		return err
+	})
 	switch {
 	case errors.Is(err, core.ErrNotFound):
 		return nil
--- a/edge/front.go
+++ b/edge/front.go
@@ -231,7 +231,11 @@
 		p.writeState(w, a.State)
 		return
 	}
-	state, _, err := p.readStoredState(ctx, id)
+	var state job.State
+	err = p.lookups.do(ctx, func() (err error) {
+		state, _, err = p.readStoredState(ctx, id)
+		return err
+	})
 	if err != nil {
 		p.log.Event(event.StateUnknown, zap.String("job", id), zap.Error(err))
 		p.refuse(w, http.StatusServiceUnavailable, defaultRetryAfter, "neither the owner nor the store answers")
--- a/edge/host.go
+++ b/edge/host.go
@@ -47,9 +47,11 @@
 	advisor   core.Advisor
 	codec     core.Codec
 	store     core.MetadataStore
-	writer    *writer
-	log       *eventlog.Log
-	metrics   *CallMetrics
+	// lookups limits the reads for callers' requests.
+	lookups *lookups
+	writer  *writer
+	log     *eventlog.Log
+	metrics *CallMetrics
 	// onDeposed is called when a later owner is detected.
 	onDeposed func(reason string)
 	// onOverload is called while this VM is too slow for the pools.
--- a/edge/owner.go
+++ b/edge/owner.go
@@ -61,6 +61,7 @@
 type ownership struct {
 	self      ownerRecord
 	store     core.MetadataStore
+	lookups   *lookups
 	codec     core.Codec
 	executors core.ExecutorClient
 	vms       core.VMClient
@@ -277,7 +278,7 @@
 	o.awaitLinks(ctx, began)
 	h := &host{
 		kernel: k, node: o.self.Node, executors: o.executors, vms: o.vms, advisor: o.advisor,
-		codec: o.codec, store: o.store, log: o.log, metrics: o.metrics,
+		codec: o.codec, store: o.store, lookups: o.lookups, log: o.log, metrics: o.metrics,
 		writer:    w,
 		onDeposed: o.endOwnership, onOverload: func() { o.yield("this VM is too slow for the pools") },
 		links: o.links, loaded: loaded,
--- a/edge/process.go
+++ b/edge/process.go
@@ -98,6 +98,7 @@
 	// check.
 	callers, readyChecks clientConns
 	memory               memoryBudget
+	lookups              *lookups
 
 	configuration atomic.Pointer[fleet.Configuration]
 	// configurationReadAt is how new the configuration is at least, in nanoseconds of
@@ -116,10 +117,11 @@
 	}
 	limits := newProcessLimits(s.MemoryBytes, s.MaxFiles)
 	s.Kernel.MaxJobBytes = limits.jobBytes
+	p.lookups = newLookups(limits.lookups)
 	p.ownership = &ownership{
 		reportValidUntil: p.outage.reportValidUntil, cutOff: func() bool { return false }, received: func() int64 { return 0 },
 		self:  ownerRecord{Node: s.Node, Incarnation: p.incarnation, Address: s.Peer, Links: true},
-		store: d.Store, codec: d.Codec, executors: d.Executors, vms: d.VMs, advisor: d.Advisor,
+		store: d.Store, lookups: p.lookups, codec: d.Codec, executors: d.Executors, vms: d.VMs, advisor: d.Advisor,
 		settings: s.Kernel, cores: s.Cores, log: d.Log, metrics: d.Metrics, recordChanged: make(chan struct{}),
 		system: actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger {
 			return slog.New(slog.DiscardHandler)
--- a/edge/process_limits.go
+++ b/edge/process_limits.go
@@ -11,6 +11,8 @@
 	// callerFilesPermille is the part of the sockets that callers may use, in thousandths.
 	// The store, the peers and the executors get the others.
 	callerFilesPermille = 400
+	// lookupFilesDivisor times the reads of the store for callers is the number of sockets.
+	lookupFilesDivisor = 10
 	// connMemoryDivisor times the memory of all connections of callers is the process's.
 	connMemoryDivisor = 4
 	// connBytes is the memory that a connection may use without a reservation.
@@ -28,6 +30,8 @@
 type processLimits struct {
 	// callerConns is the number of connections of callers.
 	callerConns int
+	// lookups is the number of reads of the store for callers' requests at once.
+	lookups int
 	// requestBytes is the memory of all requests beyond what each connection may use.
 	requestBytes int64
 	// jobBytes is the memory of all jobs while this node is the owner.
@@ -44,6 +48,7 @@
 		maxFiles = defaultMaxFiles
 	}
 	return processLimits{
+		lookups:      max((maxFiles-reservedFiles)/lookupFilesDivisor, 1),
 		requestBytes: memoryBytes / requestMemoryDivisor,
 		jobBytes:     memoryBytes / 1000 * jobMemoryPermille,
 		callerConns:  int(min(int64(maxFiles-reservedFiles)*callerFilesPermille/1000, memoryBytes/connMemoryDivisor/connBytes)),
