Let orders to an executor wait without a goroutine each

The owner starts a goroutine with a request for each order, and all but three of an executor's wait for a connection. A job of a thousand small tasks that may start at once is legal; several of them took 58 MB of stacks and 20 MB of requests at an owner with 96 MB (a heap profile of TestLargeJobsFromManyNodesEndNoOwner).

Eight orders to an executor are sent at once, more than it has connections; the others wait in a list, in their order and within the time that they have had so far. Renewals have connections of their own and do not wait.

Ruled out: fewer starts at once in the kernel, which would let one slow executor hold back the work of others.

--- a/edge/host.go
+++ b/edge/host.go
@@ -87,6 +87,8 @@
 	broken   bool
 	overload overloadDetector
 	carriers carriers
+	// orders holds the orders that this node sends itself.
+	orders orderQueues
 }
 
 // submission passes a job or a cancellation to the kernel and receives its answer.
--- a/edge/host_carriers.go
+++ b/edge/host_carriers.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"maps"
 	"slices"
 	"time"
@@ -112,15 +113,24 @@
 			return
 		}
 	}
-	h.goroutines.Go(func() {
+	deadline := time.Now().Add(o.timeout())
+	send := func() {
 		r := unknownReport(o.ID)
 		_ = guard(h.log, "send an order", func() error {
-			r = o.send(h.ctx, h.executors)
+			ctx, cancel := context.WithDeadline(h.ctx, deadline)
+			defer cancel()
+			r = o.send(ctx, h.executors)
 			return nil
 		})
 		h.metrics.recordCall("executor", string(r.Answer.Outcome), monotonicNow()-now)
 		h.send(o.event(now, r))
-	})
+	}
+	if o.Renew != nil {
+		// Renewals have connections of their own.
+		h.goroutines.Go(send)
+		return
+	}
+	h.orders.add(o.executor(), h.goroutines.Go, send)
 }
 
 // joinCarrier adds a node that has linked to this owner.
