Limit the large jobs on their way to the owner

Each node limits what its callers' requests take, but what all nodes pass on together reaches one owner, which decodes it and writes it to the store: with four nodes and jobs of the largest legal size the owner used 202 and 171 MB of 96.

A node passes on large jobs only as far as its part of an eighth of a node's memory goes, by the number of nodes that it knows; one at a time always passes. Others wait for 0.6 s and get 503 with Retry-After: they were not sent. Ordinary jobs need no part.

--- a/edge/client_conns.go
+++ b/edge/client_conns.go
@@ -107,11 +107,12 @@
 	refusedHeadMemory closeReason = "no memory for the head of a request"
 	refusedBodyMemory closeReason = "no memory for the body of a request"
 	refusedJobMemory  closeReason = "no memory for the job of a request"
+	refusedPassingOn  closeReason = "too many large jobs are on their way to the owner"
 )
 
 // isRefusal reports whether requests were refused for want of memory.
 func (r closeReason) isRefusal() bool {
-	return r == refusedHeadMemory || r == refusedBodyMemory || r == refusedJobMemory
+	return r == refusedHeadMemory || r == refusedBodyMemory || r == refusedJobMemory || r == refusedPassingOn
 }
 
 // count counts a closed connection or a refused request.
--- a/edge/front.go
+++ b/edge/front.go
@@ -194,6 +194,12 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	end, ok := p.largeJobs.begin(ctx, decoded, p.countNodes)
+	if !ok {
+		p.refuseForMemory(w, refusedPassingOn)
+		return
+	}
+	defer end()
 	j.Queue, j.Team = queue.Name, team
 	// Without an owner the caller is told to retry early instead of at its deadline.
 	if record, _ := p.ownership.currentRecord(); record.Node == "" {
--- a/edge/process.go
+++ b/edge/process.go
@@ -99,6 +99,7 @@
 	callers, readyChecks clientConns
 	memory               memoryBudget
 	lookups              *lookups
+	largeJobs            *largeJobs
 
 	configuration atomic.Pointer[fleet.Configuration]
 	// configurationReadAt is how new the configuration is at least, in nanoseconds of
@@ -117,6 +118,7 @@
 	}
 	limits := newProcessLimits(s.MemoryBytes, s.MaxFiles)
 	s.Kernel.MaxJobBytes = limits.jobBytes
+	p.largeJobs = newLargeJobs(limits.requestBytes)
 	p.lookups = newLookups(limits.lookups)
 	p.ownership = &ownership{
 		reportValidUntil: p.outage.reportValidUntil, cutOff: func() bool { return false }, received: func() int64 { return 0 },
@@ -146,6 +148,9 @@
 	return append([]string(nil), p.peers...)
 }
 
+// countNodes returns the number of nodes, this one included.
+func (p *Process) countNodes() int { return len(p.listPeers()) + 1 }
+
 // Run serves until ctx ends, and then stops gracefully.
 func (p *Process) Run(ctx context.Context) error {
 	var group run.Group
