Limit the time that a caller may ask for

X-Deadline-Ms had no limit: a request that waits for an owner held its connection and its memory for as long as its caller asked, an hour for 3600000, and the largest number overflowed to -500µs, so that such a request failed at once.

TestCallerCannotHoldARequestWithoutEnd checks both; the constant is new, so that it did not compile before.

--- a/edge/front.go
+++ b/edge/front.go
@@ -23,6 +23,8 @@
 	// part of a caller's deadline that is reserved for sending the answer back.
 	defaultCallerTimeout = 2500 * time.Millisecond
 	deadlineMargin       = 150 * time.Millisecond
+	// maxCallerTimeout limits what callers may ask for.
+	maxCallerTimeout = time.Minute
 	// noOwnerTimeout is how long a submission waits for an owner before the caller is
 	// told to retry; it covers a short change of owners.
 	noOwnerTimeout      = 600 * time.Millisecond
@@ -143,7 +145,7 @@
 	if err != nil || ms <= 0 {
 		return defaultCallerTimeout
 	}
-	d := time.Duration(ms) * time.Millisecond
+	d := time.Duration(min(ms, maxCallerTimeout.Milliseconds())) * time.Millisecond
 	return max(d-deadlineMargin, d/2)
 }
 
--- a/edge/request_head_test.go
+++ b/edge/request_head_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -48,6 +49,17 @@
 	require.True(t, strings.HasPrefix(answer, "HTTP/1.1 431 "))
 }
 
+// TestCallerCannotHoldARequestWithoutEnd checks the time that callers get for their deadlines.
+func TestCallerCannotHoldARequestWithoutEnd(t *testing.T) {
+	for deadline, want := range map[string]time.Duration{
+		"": defaultCallerTimeout, "3000": 2850 * time.Millisecond, "100": 50 * time.Millisecond, "-1": defaultCallerTimeout,
+		"3600000": maxCallerTimeout - deadlineMargin, "9223372036854775807": maxCallerTimeout - deadlineMargin,
+	} {
+		r := &http.Request{Header: http.Header{"X-Deadline-Ms": {deadline}}}
+		require.Equal(t, want, callerTimeout(r), "deadline %q", deadline)
+	}
+}
+
 // largeHeader returns a header of distinct names.
 func largeHeader(names int) http.Header {
 	h := http.Header{}
