Count the head of each request on a connection by itself

The count of a head began anew only where the front drops the head. Readiness checks over one connection, which need no such step, were counted as one head and answered with 503 or 431 after some sixty of them.

TestManyRequestsOnOneConnectionPass failed before: a 503 in place of 200.

--- a/edge/client_conns.go
+++ b/edge/client_conns.go
@@ -348,6 +348,7 @@
 
 // beginIdle records that a request is answered.
 func (c *clientConn) beginIdle() {
+	c.releaseHead(false)
 	c.begin(phaseIdle)
 	c.conns.mu.Lock()
 	defer c.conns.mu.Unlock()
--- a/edge/client_conns_test.go
+++ b/edge/client_conns_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -83,6 +84,25 @@
 	require.Equal(t, 1024, newProcessLimits(0, 0).callerConns)
 }
 
+// TestManyRequestsOnOneConnectionPass guards against counting the heads of all requests of a
+// connection as one.
+func TestManyRequestsOnOneConnectionPass(t *testing.T) {
+	s, _ := newTestConns(1)
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	server.Listener = limitedListener{server.Listener, s}
+	s.attach(server.Config)
+	server.Start()
+	defer server.Close()
+	for range 300 {
+		resp, err := server.Client().Get(server.URL)
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+		require.Equal(t, http.StatusOK, resp.StatusCode)
+	}
+	require.Len(t, s.open, 1)
+	require.Zero(t, s.memory.used.Load())
+}
+
 // TestClosedListenerEndsAccept checks that the limit of connections does not hide the end of a
 // listener.
 func TestClosedListenerEndsAccept(t *testing.T) {
