Read the store for at most 64 callers at once

A tenth of the sockets is 390 at 4,100 descriptors, more reads than the store serves in 150 ms, and each that finds no free connection opens one that is closed again after it.

--- a/edge/process_limits.go
+++ b/edge/process_limits.go
@@ -11,8 +11,10 @@
 	// callerFilesPermille is the part of the sockets that callers may use, in thousandths.
 	// The store, the peers and the executors get the others.
 	callerFilesPermille = 400
-	// lookupFilesDivisor times the reads of the store for callers is the number of sockets.
+	// lookupFilesDivisor times the reads of the store for callers is the number of sockets,
+	// if that gives no more than maxLookups.
 	lookupFilesDivisor = 10
+	maxLookups         = 64
 	// connMemoryDivisor times the memory of all connections of callers is the process's.
 	connMemoryDivisor = 4
 	// connBytes is the memory that a connection may use without a reservation.
@@ -48,7 +50,7 @@
 		maxFiles = defaultMaxFiles
 	}
 	return processLimits{
-		lookups:      max((maxFiles-reservedFiles)/lookupFilesDivisor, 1),
+		lookups:      min(max((maxFiles-reservedFiles)/lookupFilesDivisor, 1), maxLookups),
 		requestBytes: memoryBytes / requestMemoryDivisor,
 		jobBytes:     memoryBytes / 1000 * jobMemoryPermille,
 		callerConns:  int(min(int64(maxFiles-reservedFiles)*callerFilesPermille/1000, memoryBytes/connMemoryDivisor/connBytes)),
