Postmortem: clients outside the limits

The text of event 752 and of the interface no longer say that each refusal comes before the body is read: that of a job whose values are too many comes after it.

--- a/core/event/platform.go
+++ b/core/event/platform.go
@@ -164,7 +164,7 @@
 		ConnectionsDiscarded:  "a call on a kept connection got no answer; the idle connections to the same address that brought nothing since are closed",
 		WriteRejected:         "the store rejects a record for its form or size; its job is refused or fails, and all other writes go on",
 		ConnectionsClosed:     "connections were closed whose clients did not use them in time, or to make room for others",
-		RequestsRefused:       "requests were refused before their bodies were read since there is no memory for them",
+		RequestsRefused:       "requests were refused since there is no memory for them",
 	} {
 		Catalogue[n] = text
 	}
