--- a/commands/edge.go
+++ b/commands/edge.go
@@ -69,6 +69,10 @@
 // Run runs the entry node until ctx is cancelled, then stops it gracefully. A
 // second SIGINT or SIGTERM ends the process at once.
 func (c *edgeCommand) Run(ctx context.Context) error {
+	// A process that does not handle SIGHUP yet is ended by it.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
 	settings, err := platform.ReadSettings()
 	if err != nil {
 		return err
@@ -120,7 +124,7 @@
 		Codec:   platform.Codec{}, Relay: relay, PeerClient: peers, Log: log,
 		Metrics: &edge.CallMetrics{Metrics: metrics.New()},
 	})
-	go watchSettings(ctx, settings, log)
+	go watchSettings(ctx, settings, hangups, log)
 	go exitOnSecondSignal(ctx, logWriter)
 	if err := process.Run(ctx); err != nil {
 		return fmt.Errorf("run entry node: %w", err)
@@ -144,13 +148,10 @@
 // arrives.
 const settingsPollInterval = 5 * time.Second
 
-// watchSettings reads the settings file periodically and on SIGHUP, and logs
+// watchSettings reads the settings file periodically and on each of hangups, and logs
 // changes and errors, and after SIGHUP also that nothing changed. The process
 // keeps the settings that it was started with.
-func watchSettings(ctx context.Context, current platform.Settings, log *eventlog.Log) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
+func watchSettings(ctx context.Context, current platform.Settings, hangups <-chan os.Signal, log *eventlog.Log) {
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
 	for {
