Reach the last path of a watch within two seconds

Paths after the second are used 0.2 s after each other: all are in use after 1.95 s. TestLongPollWaitsForEachSilentPath has a row with all five paths, which failed before (1.70 s of 1.30 s allowed, with a waiting time of 0.3 s).

--- a/edge/long_poll.go
+++ b/edge/long_poll.go
@@ -14,10 +14,15 @@
 	"jacinthwind/core/event"
 )
 
-// latePathDelay is how much longer than the store may wait a path may take for the answer to
-// a long poll before the next path is used beside it. Even a slow store answers within a
-// third of a second.
-const latePathDelay = 350 * time.Millisecond
+const (
+	// latePathDelay is how much longer than the store may wait the first path may take for
+	// the answer to a long poll before the next one is used beside it. Even a slow store
+	// answers within a third of a second.
+	latePathDelay = 350 * time.Millisecond
+	// nextPathDelay is the time until each further path is used. With all paths but the last
+	// silent, a version of the configuration must still be in force within two seconds.
+	nextPathDelay = 200 * time.Millisecond
+)
 
 // storePath is a way to the store.
 type storePath struct {
@@ -78,7 +83,7 @@
 			startNext()
 		case <-t.C:
 			startNext()
-			t.Reset(latePathDelay)
+			t.Reset(nextPathDelay)
 		case <-begun:
 			// Copies would share the link with the answer that arrives.
 			begun = nil
--- a/edge/long_poll_test.go
+++ b/edge/long_poll_test.go
@@ -40,7 +40,7 @@
 	}{
 		"the first path serves":       {[]storeCallFunc{serving, silent}, 0, wait},
 		"the first is silent":         {[]storeCallFunc{silent, serving}, 1, wait + 2*latePathDelay},
-		"all but the last are silent": {[]storeCallFunc{silent, silent, silent, serving}, 3, wait + 4*latePathDelay},
+		"all but the last are silent": {[]storeCallFunc{silent, silent, silent, silent, serving}, 4, wait + time.Second},
 		"the first fails":             {[]storeCallFunc{failing, serving}, 1, wait},
 		"one is silent, one refuses":  {[]storeCallFunc{silent, refusing, serving}, 2, wait + 2*latePathDelay},
 		"all fail or refuse":          {[]storeCallFunc{failing, refusing, refusing}, -1, wait},
