--- a/edge/long_poll.go
+++ b/edge/long_poll.go
@@ -96,9 +96,9 @@
 // directPaths returns the ways to the store without a peer: over a connection that was kept,
 // and over a new one.
 func (r *Relay) directPaths() []storePath {
-	direct := func(again bool) storeCallFunc {
+	direct := func(newConnection bool) storeCallFunc {
 		return func(ctx context.Context, c core.StoreCall) (int, []byte, error) {
-			c.NewConnection = again
+			c.NewConnection = newConnection
 			onProgress := c.OnProgress
 			c.OnProgress = func(bytes int) {
 				r.lastDirectAnswer.Store(int64(monotonicNow()))
@@ -120,16 +120,16 @@
 	if !r.isDirectDown() {
 		paths = r.directPaths()
 		newest := &paths[len(paths)-1]
-		send := r.noticeFailure(newest.send)
+		send := r.markDownOnFailure(newest.send)
 		newest.send = func(ctx context.Context, c core.StoreCall) (int, []byte, error) {
 			newestSent.Store(int64(monotonicNow()))
 			return send(ctx, c)
 		}
 	}
 	for i, peer := range peers[:min(len(peers), maxPeerAttempts)] {
-		again := i > 0 || len(paths) > 0
+		newConnection := i > 0 || len(paths) > 0
 		paths = append(paths, storePath{peer: peer, send: func(ctx context.Context, c core.StoreCall) (int, []byte, error) {
-			c.NewConnection = again
+			c.NewConnection = newConnection
 			return r.callPeerWithin(ctx, relayTimeout(c), peer, c)
 		}})
 	}
@@ -155,9 +155,9 @@
 	return a.status, a.data, nil
 }
 
-// noticeFailure returns a function that sends a call directly and, if the store does not serve
+// markDownOnFailure returns a function that sends a call directly and, if the store does not serve
 // it, lets further calls go through peers.
-func (r *Relay) noticeFailure(send storeCallFunc) storeCallFunc {
+func (r *Relay) markDownOnFailure(send storeCallFunc) storeCallFunc {
 	return func(ctx context.Context, c core.StoreCall) (int, []byte, error) {
 		status, data, err := send(ctx, c)
 		busy := errors.Is(err, context.DeadlineExceeded) && !r.isStoreSilent()
--- a/edge/node_link.go
+++ b/edge/node_link.go
@@ -218,15 +218,18 @@
 			c.AgeMs = (now - c.began).Milliseconds()
 		}
 	}
-	// The owner's heartbeats come first, and are answered.
 	if l.carrying {
 		l.stream.SetSilence(carrierSilence)
-		return m, carrierHeartbeat * 5 / 4
+		return m, lateHeartbeat(carrierHeartbeat)
 	}
 	l.stream.SetSilence(linkSilence)
-	return m, linkHeartbeat * 5 / 4
+	return m, lateHeartbeat(linkHeartbeat)
 }
 
+// lateHeartbeat returns the interval after which a node sends a heartbeat if it has none of the
+// owner's to answer.
+func lateHeartbeat(ownerInterval time.Duration) time.Duration { return ownerInterval * 5 / 4 }
+
 // leave announces to the owner that this node stops.
 func (l *nodeLink) leave() {
 	l.mu.Lock()
--- a/edge/owner_call.go
+++ b/edge/owner_call.go
@@ -29,8 +29,8 @@
 	// began is when this node read the caller's request, zero for one that changes nothing.
 	began time.Duration
 	// sent is when the node read the caller's request at the earliest, to about a
-	// millisecond, and deadline when its caller stops waiting, on this VM's clock. Both are zero for a call from a node without
-	// a link.
+	// millisecond, and deadline when its caller stops waiting, on this VM's clock. Both are
+	// zero for a call from a node without a link.
 	sent, deadline time.Duration
 }
 
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -345,9 +345,9 @@
 
 // isServedThrough reports whether a peer relays a call that is answered soon. Whether it relays a
 // large read would only show when it has read it whole.
-func (r *Relay) isServedThrough(ctx context.Context, peer string, again bool) bool {
+func (r *Relay) isServedThrough(ctx context.Context, peer string, newConnection bool) bool {
 	c := r.Probe
-	c.NewConnection = again
+	c.NewConnection = newConnection
 	status, _, err := r.callPeerWithin(ctx, directTimeout, peer, c)
 	return isServed(status, err)
 }
