Log and count why runs are stopped

Change: event 617 when the runs of an ended job are stopped, with its state and the service runs among them; 614 with the VM and the executors lost in the last 10 s (lost_lately); counters for each kind of stop. No decision changes: losses of executors are only noted.

--- a/core/cell/crash.go
+++ b/core/cell/crash.go
@@ -37,6 +37,8 @@
 	maxClosedDivisor = 2
 	// togetherWindow is how far apart executors that are lost for one reason fall silent.
 	togetherWindow = 300 * time.Millisecond
+	// lossWindow is for how long the loss of an executor is counted beside later ones.
+	lossWindow = 10 * time.Second
 	// minLostTogether is how many executors of a rack, more than half of it, must be lost
 	// together so that no task is blamed.
 	minLostTogether = 3
@@ -67,7 +69,11 @@
 // gives up those that have crashed too many. The loss is certain to be a crash if the
 // executor's incarnation has ended.
 func (k *Kernel) blameCrash(x *executor, certain bool) {
-	if len(x.runs) == 0 || k.isPlannedEnd(x) {
+	if k.isPlannedEnd(x) {
+		return
+	}
+	k.noteLoss(x)
+	if len(x.runs) == 0 {
 		return
 	}
 	rackLost := k.lostWithItsRack(x, certain)
@@ -100,6 +106,21 @@
 	}
 }
 
+// noteLoss notes the loss of an executor, with or without runs.
+func (k *Kernel) noteLoss(x *executor) {
+	if !x.lossNoted {
+		x.lossNoted = true
+		k.lossesAt = append(k.lossesAt, k.now.Monotonic)
+		k.countLosses()
+	}
+}
+
+// countLosses returns how many executors were lost lately, and forgets the earlier losses.
+func (k *Kernel) countLosses() int {
+	k.lossesAt = slices.DeleteFunc(k.lossesAt, func(at time.Duration) bool { return k.now.Monotonic > at+lossWindow })
+	return len(k.lossesAt)
+}
+
 // lostAt returns when an executor that was lost fell silent.
 func (x *executor) lostAt(now time.Duration) time.Duration {
 	if x.misses > 0 {
@@ -121,7 +142,8 @@
 	r.step.suspected = true
 	k.holdUntilStored(r.step, r.index)
 	if t.crashes.ShouldGiveUp() {
-		k.log(event.TaskGivenUp, "task", r.name, "run", r.number, "executor", r.executor.ID, "crashes", t.crashes)
+		k.log(event.TaskGivenUp, "task", r.name, "run", r.number, "executor", r.executor.ID, "vm", r.executor.lastVM, "crashes", t.crashes,
+			"lost_lately", k.countLosses())
 		k.endJob(j, job.Failed)
 	}
 }
@@ -136,7 +158,7 @@
 	t.crashes.PresumeCrash()
 	k.holdUntilStored(s, index)
 	if t.crashes.ShouldGiveUp() && !s.job.state.IsFinal() {
-		k.log(event.TaskGivenUp, "job", s.job.ID, "step", s.index, "crashes", t.crashes)
+		k.log(event.TaskGivenUp, "job", s.job.ID, "step", s.index, "task", index, "crashes", t.crashes, "lost_lately", k.countLosses())
 		k.endJob(s.job, job.Failed)
 	}
 }
--- a/core/cell/executors.go
+++ b/core/cell/executors.go
@@ -139,7 +139,7 @@
 	x.ackedEnd, x.seenEnd, x.moreEnded = 0, 0, false
 	x.clockMs, x.grantedDeadlineMs = 0, 0
 	x.failureStreak, x.knownSince, x.incarnationSeenAt = 0, k.now.Monotonic, k.now.Monotonic
-	x.closedUntil, x.aliveAt = 0, 0
+	x.closedUntil, x.aliveAt, x.lossNoted = 0, 0, false
 	x.expectedStartMs, x.refutedStartMs, x.unsizedRuns = 0, 0, 0
 }
 
--- a/core/cell/kernel.go
+++ b/core/cell/kernel.go
@@ -150,6 +150,8 @@
 	// vmOrderBudget is how many orders for VMs may be sent now.
 	vmOrderBudget   float64
 	vmOrderBudgetAt time.Duration
+	// lossesAt holds when executors were lost during the last lossWindow.
+	lossesAt []time.Duration
 	// lendableVMs holds the VMs that are off and can be lent.
 	lendableVMs []lending.VM
 	// surplusCores holds by how many cores each pool exceeds its need, as last planned.
--- a/core/cell/renewal.go
+++ b/core/cell/renewal.go
@@ -138,7 +138,7 @@
 	if x.misses > 0 {
 		k.log(event.ExecutorAnswers, "executor", x.ID, "misses", x.misses)
 	}
-	x.misses = 0
+	x.misses, x.lossNoted = 0, false
 	firstAnswer := !x.fenced
 	if firstAnswer {
 		x.fencedAt = k.now.Monotonic
--- a/core/cell/state.go
+++ b/core/cell/state.go
@@ -234,6 +234,8 @@
 	silentSince time.Duration
 	// silentInIsolation is true if it had a run in isolation then.
 	silentInIsolation bool
+	// lossNoted is true once the loss of the present incarnation was noted.
+	lossNoted bool
 	// isolatedRuns counts the runs in isolation. Until closedUntil nothing starts here,
 	// so that a run can be isolated once the others have settled.
 	isolatedRuns int
--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -393,13 +393,19 @@
 func (k *Kernel) endJob(j *jobState, state job.State) {
 	k.markStarted(j)
 	k.closeJob(j)
+	stopped, services := 0, 0
 	for _, s := range j.steps {
 		for i := range s.tasks {
 			if r := s.tasks[i].currentRun; r != nil {
 				k.stopRun(r)
+				stopped++
+				services += countIf(s.Service)
 			}
 		}
 	}
+	if stopped > 0 {
+		k.log(event.JobRunsStopped, "job", j.ID, "state", state, "runs", stopped, "services", services)
+	}
 	j.state = state
 	j.endedMs = k.now.UnixMs
 	k.markDirty(j)
--- a/core/event/platform.go
+++ b/core/event/platform.go
@@ -19,6 +19,7 @@
 	TaskGivenUp           Number = 614
 	TaskWaits             Number = 615
 	JobUnstorable         Number = 616
+	JobRunsStopped        Number = 617
 	ExecutorSilent        Number = 621
 	ExecutorAnswers       Number = 622
 	ExecutorAvoided       Number = 623
@@ -102,6 +103,7 @@
 		TaskGivenUp:           "a task is given up since it crashes the executors that start it",
 		TaskWaits:             "the service task that has waited longest for an executor of a pool, and why it does not start",
 		JobUnstorable:         "the store does not take the records of a job; a new job is refused, an accepted one fails",
+		JobRunsStopped:        "the runs of a job that has ended are ordered to stop",
 		ExecutorSilent:        "an executor does not answer",
 		ExecutorAnswers:       "an executor answers again",
 		ExecutorAvoided:       "an executor that failed runs gets no work for a while",
--- a/edge/call_metrics.go
+++ b/edge/call_metrics.go
@@ -37,7 +37,11 @@
 	event.ExecutorLost:    "executors_lost",
 	event.ExecutorResized: "executors_resized",
 	event.RunLost:         "runs_lost",
+	event.RunNotWanted:    "runs_not_wanted",
+	event.RunVacated:      "runs_vacated",
+	event.RunStraggles:    "runs_straggled",
 	event.JobFailed:       "jobs_failed",
+	event.JobRunsStopped:  "jobs_stopped",
 	event.TaskGivenUp:     "tasks_given_up",
 	event.TaskWaits:       "service_tasks_waiting_s",
 }
