Hold back the service task that is blamed, not its service

What callers saw: three of four tasks of a service, at work on sound executors, were stopped in one millisecond; one may be away (AVAIL).

Cause: a crash is evidence about the executor and what surrounds it as well as about each task on it, but it was charged to tasks alone. A few losses by chance condemned a service task (614), and Kernel.endJob then ended the whole job for that part, without asking the budget of its steps. A suspect was put on the emptiest executor, mostly the one that had just come back, which in a series of crashes is among the next to be lost.

Change: a service task is never given up, and its job never ends for a crash. It waits after three losses (1.5 s) and more (3 s), then starts alone on the executor whose crash harms least: service runs count first, and an idle executor that has not answered lately is closed and asked rather than passed over. Event 618, counter service_restarts_delayed. Tasks that end are treated as before.

Why it works: no order ends a service run for a crash any more, so there is nothing that could exceed the budget; and what does crash its executors costs a pool one of them every four seconds, with nothing else on it.

--- a/core/cell/crash.go
+++ b/core/cell/crash.go
@@ -136,18 +136,34 @@
 	return c.NeedsIsolation() && !c.HasOutlived(r.survived())
 }
 
-// suspectTask stores the crashes under a task, or gives it up.
+// suspectTask stores the crashes under a task, and gives it up or delays its next start.
 func (k *Kernel) suspectTask(r *run) {
 	t, j := r.task(), r.step.job
 	r.step.suspected = true
 	k.holdUntilStored(r.step, r.index)
-	if t.crashes.ShouldGiveUp() {
+	switch {
+	case r.step.Service:
+		k.delayRestart(r.step, r.index)
+	case t.crashes.ShouldGiveUp():
 		k.log(event.TaskGivenUp, "task", r.name, "run", r.number, "executor", r.executor.ID, "vm", r.executor.lastVM, "crashes", t.crashes,
 			"lost_lately", k.countLosses())
 		k.endJob(j, job.Failed)
 	}
 }
 
+// delayRestart lets a service task wait for longer after each crash. Its job goes on, since
+// the other tasks are at work and the crashes may have other causes.
+func (k *Kernel) delayRestart(s *stepRun, index int) {
+	t := &s.tasks[index]
+	delay := t.crashes.RestartDelay()
+	if delay == 0 {
+		return
+	}
+	t.retryAt = k.now.Monotonic + delay
+	k.log(event.RestartDelayed, "job", s.job.ID, "step", s.index, "task", index, "delay_ms", delay.Milliseconds(),
+		"crashes", t.crashes, "lost_lately", k.countLosses())
+}
+
 // presumeCrash counts a start of a suspected task by the earlier owner, since no executor
 // has the run.
 func (k *Kernel) presumeCrash(s *stepRun, index int) {
@@ -157,7 +173,10 @@
 	}
 	t.crashes.PresumeCrash()
 	k.holdUntilStored(s, index)
-	if t.crashes.ShouldGiveUp() && !s.job.state.IsFinal() {
+	switch {
+	case s.Service:
+		k.delayRestart(s, index)
+	case t.crashes.ShouldGiveUp() && !s.job.state.IsFinal():
 		k.log(event.TaskGivenUp, "job", s.job.ID, "step", s.index, "task", index, "crashes", t.crashes, "lost_lately", k.countLosses())
 		k.endJob(s.job, job.Failed)
 	}
@@ -321,10 +340,11 @@
 // compareForIsolation orders executors by the harm of a crash, those that have been up
 // for longer first.
 func compareForIsolation(a, b *executor) int {
-	if d := len(a.runs) - len(b.runs); d != 0 {
-		return d
-	}
-	return int(a.knownSince - b.knownSince)
+	return cmp.Or(
+		cmp.Compare(a.countServiceRuns(), b.countServiceRuns()),
+		cmp.Compare(len(a.runs), len(b.runs)),
+		cmp.Compare(a.knownSince, b.knownSince),
+	)
 }
 
 // chooseForIsolation returns an executor on which a task can start in isolation, or nil.
@@ -343,11 +363,48 @@
 		}
 	}
 	if found := k.executorsForIsolation(fitting, t.crashes.NeedsProof()); len(found) > 0 {
+		if s.Service && t.crashes.RestartDelay() > 0 && k.now.Monotonic < max(t.waitsSince(s), t.retryAt)+isolationCloseTime {
+			return k.preferLeastHarm(fitting, found[0]), true
+		}
 		return found[0], true
 	}
+	if s.Service && k.now.Monotonic >= t.waitsSince(s)+maxIsolationWait {
+		return k.executorOfSettledServices(fitting), false
+	}
 	return nil, false
 }
 
+// preferLeastHarm returns the executor that was found for a task in isolation, or nil if a crash
+// of another one would harm less: that one is closed to new work, and asked often, until the
+// task can start there.
+func (k *Kernel) preferLeastHarm(fitting []*executor, found *executor) *executor {
+	best := slices.MinFunc(fitting, compareForIsolation)
+	if compareForIsolation(best, found) == 0 || best.isolatedRuns > 0 {
+		return found
+	}
+	best.closedUntil = max(best.closedUntil, k.now.Monotonic+isolationCloseTime)
+	return nil
+}
+
+// executorOfSettledServices returns the executor with the fewest runs of those that are closed
+// for isolated service tasks alone and have survived them for long, or nil.
+func (k *Kernel) executorOfSettledServices(fitting []*executor) *executor {
+	var best *executor
+	for _, x := range fitting {
+		if x.isolatedRuns == 0 || (best != nil && compareForIsolation(x, best) >= 0) {
+			continue
+		}
+		settled := true
+		for _, r := range x.runs {
+			settled = settled && (!r.isolated || (r.step.Service && suspicion.IsInnocent(r.survived())))
+		}
+		if settled {
+			best = x
+		}
+	}
+	return best
+}
+
 // executorOfSuspects returns the executor with the fewest recent runs of those that have
 // survived all runs but those of suspected tasks, or nil if there is none or too many are
 // closed.
--- a/core/event/platform.go
+++ b/core/event/platform.go
@@ -20,6 +20,7 @@
 	TaskWaits             Number = 615
 	JobUnstorable         Number = 616
 	JobRunsStopped        Number = 617
+	RestartDelayed        Number = 618
 	ExecutorSilent        Number = 621
 	ExecutorAnswers       Number = 622
 	ExecutorAvoided       Number = 623
@@ -104,6 +105,7 @@
 		TaskWaits:             "the service task that has waited longest for an executor of a pool, and why it does not start",
 		JobUnstorable:         "the store does not take the records of a job; a new job is refused, an accepted one fails",
 		JobRunsStopped:        "the runs of a job that has ended are ordered to stop",
+		RestartDelayed:        "a service task under which executors crashed waits before it starts again in isolation",
 		ExecutorSilent:        "an executor does not answer",
 		ExecutorAnswers:       "an executor answers again",
 		ExecutorAvoided:       "an executor that failed runs gets no work for a while",
@@ -182,6 +184,7 @@
 	RecordSkipped:        true,
 	TaskGivenUp:          true,
 	TaskWaits:            true,
+	RestartDelayed:       true,
 	JobUnstorable:        true,
 	RunNotWanted:         true,
 	RunStraggles:         true,
--- a/core/suspicion/record.go
+++ b/core/suspicion/record.go
@@ -31,6 +31,11 @@
 	// maxLosses is the number of crashes, those with a likelier cause included, after which
 	// a task is given up although none was in isolation.
 	maxLosses = 5
+	// minRestartDelay is how long a task that lasts waits to start again after
+	// maxUnisolatedLosses, and maxRestartDelay how long after more. With the time until a
+	// loss is noticed and an executor is ready, it runs again within the 6 s that users allow.
+	minRestartDelay = 1500 * time.Millisecond
+	maxRestartDelay = 3 * time.Second
 	// maxBystanderAge is how long an executor must survive a run for a crash with a
 	// likelier cause not to count against its task at all.
 	maxBystanderAge = 10 * time.Second
@@ -199,6 +204,18 @@
 	return r.Isolated >= maxIsolatedCrashes || (r.Isolated > 0 && r.Isolated+r.Doubtful >= maxIsolatedCrashes && r.losses() > maxIsolatedCrashes)
 }
 
+// RestartDelay returns how long a task that lasts waits after a crash before it starts again.
+// Such a task is never given up, since the crashes may have other causes.
+func (r Record) RestartDelay() time.Duration {
+	switch {
+	case r.losses() < maxUnisolatedLosses:
+		return 0
+	case r.losses() == maxUnisolatedLosses:
+		return minRestartDelay
+	}
+	return maxRestartDelay
+}
+
 // IsInnocent reports whether an executor has survived a run for so long that its task is
 // out of suspicion.
 func IsInnocent(survived time.Duration) bool { return survived >= innocentAge }
--- a/core/suspicion/record_test.go
+++ b/core/suspicion/record_test.go
@@ -95,3 +95,15 @@
 	require.False(t, late.IsCleared(4*time.Second), "cleared although the executors survived it for as long before")
 	require.True(t, late.IsCleared(5*time.Second))
 }
+
+// TestRestartDelayGrows checks that a task that lasts starts again at once after few losses, and
+// in time to run within 6 s of its last run after many.
+func TestRestartDelayGrows(t *testing.T) {
+	var r suspicion.Record
+	var delays []time.Duration
+	for range 6 {
+		r.Add(suspicion.Victim{Isolated: true}, true)
+		delays = append(delays, r.RestartDelay())
+	}
+	require.Equal(t, []time.Duration{0, 0, 1500 * time.Millisecond, 3 * time.Second, 3 * time.Second, 3 * time.Second}, delays)
+}
--- a/edge/call_metrics.go
+++ b/edge/call_metrics.go
@@ -43,6 +43,7 @@
 	event.JobFailed:       "jobs_failed",
 	event.JobRunsStopped:  "jobs_stopped",
 	event.TaskGivenUp:     "tasks_given_up",
+	event.RestartDelayed:  "service_restarts_delayed",
 	event.TaskWaits:       "service_tasks_waiting_s",
 }
 
