Clear service tasks sooner: runs of ten seconds prove them

What callers saw: in a series of losses the pools of service tasks refused and delayed more than the losses explain.

Cause: the record of crashes was made for proof. A service task that ran for minutes was suspected when its executor was lost, had to be survived for ten seconds more to be cleared, and its executor was closed to all others as long (Record.Observation of a task that needs proof). In a series it was never cleared. A service task is not given up any more, so nothing is to be proved.

Change: a loss after a run that the executor had survived for ten seconds is not charged to a service task, and its isolation ends after two seconds. TestLongRunsOfServiceAreBlamed fails without the change (a restart is delayed after the third loss).

Ruled out: an end of isolation after 250 ms as for the first crash; tasks that crash 3 s after their start would then take younger ones along.

--- a/core/cell/crash.go
+++ b/core/cell/crash.go
@@ -87,7 +87,7 @@
 	suspects := suspicion.Suspects(victims)
 	for i, r := range runs {
 		t := r.task()
-		if t.currentRun != r || r.step.job.state.IsFinal() {
+		if t.currentRun != r || r.step.job.state.IsFinal() || (r.step.Service && suspicion.IsProven(victims[i].Survived)) {
 			continue
 		}
 		switch {
@@ -472,7 +472,12 @@
 			continue
 		}
 		x.hasSuspects = true
-		if r.state == runActive && r.survived() >= t.crashes.Observation() {
+		observation := t.crashes.Observation()
+		if r.step.Service {
+			// Its verdict needs no proof, and others wait for the executor.
+			observation = min(observation, suspicion.InnocentAge)
+		}
+		if r.state == runActive && r.survived() >= observation {
 			r.endIsolation()
 		}
 		if t.crashes.IsCleared(r.survived()) {
--- a/core/cell/service_crash_test.go
+++ b/core/cell/service_crash_test.go
@@ -115,3 +115,23 @@
 		a.requireServicesAtWork()
 	})
 }
+
+// TestLongRunsOfServiceAreBlamed guards against suspecting a service task that its executors have
+// survived for long each time: it starts again as soon as a loss is noticed.
+func TestLongRunsOfServiceAreBlamed(t *testing.T) {
+	w := newWorld(t, 8)
+	w.advance(time.Second)
+	j := simpleJob(1, 4, 500)
+	j.Steps[0].Service = true
+	w.submitJob(j)
+	task := job.TaskID{Job: j.ID}.String()
+	for range 5 {
+		w.advance(10100 * time.Millisecond)
+		x := w.executorOf(task)
+		require.NotNil(t, x)
+		w.crashAndReplace(x)
+		for lostAt := w.now; w.executorOf(task) == nil; w.advance(testStep) {
+			require.Less(t, w.now, lostAt+time.Second, "it does not run again")
+		}
+	}
+}
