Refuse to send once the end of a stream was reported

Cause: the end of a stream is two things for a moment. Cancelling its context ends the read of the answer, and so Receive, before the pipe of the request's body is closed, by abort's next line or by a goroutine that follows the context; until then the transport still takes a write. Class: one event with two observers, of which the later one decides for the earlier.

Change: Receive marks the stream as ended before it returns the end, and Send then returns ErrEnded, whatever ended it. TestSendAfterReportedEndIsTaken shows it without a race: there the write function never fails.

--- a/common/jsonstream/stream.go
+++ b/common/jsonstream/stream.go
@@ -6,6 +6,7 @@
 	"compress/flate"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -33,8 +34,14 @@
 	lines    *bufio.Scanner
 	watchdog *time.Timer
 	silence  atomic.Int64
+	// ended is set once Receive has reported the end: a write may still succeed then, since
+	// the sending side is closed by another goroutine.
+	ended atomic.Bool
 }
 
+// ErrEnded is what Send returns once Receive has reported the end of the stream.
+var ErrEnded = errors.New("the stream has ended")
+
 // Options are the options of a stream that is opened.
 type Options struct {
 	// Answer limits the time until the peer accepts the stream.
@@ -202,7 +209,7 @@
 }
 
 // Send sends a message. One that is too large for the peer is not sent, leaves the stream
-// usable and gives a *SizeError.
+// usable and gives a *SizeError. After Receive has reported the end it returns ErrEnded.
 func (s *Stream) Send(v any) error { return s.SendWithin(v, jsonhttp.MaxMessageBytes) }
 
 // SendWithin sends a message of less than the given number of bytes, and returns a
@@ -215,6 +222,9 @@
 	if limit = min(limit, jsonhttp.MaxMessageBytes); len(line)+1 >= limit {
 		return &SizeError{Bytes: len(line), Limit: limit}
 	}
+	if s.ended.Load() {
+		return ErrEnded
+	}
 	return s.write(append(line, '\n'))
 }
 
@@ -223,6 +233,7 @@
 // and gives a *DecodeError.
 func (s *Stream) Receive(v any) error {
 	if !s.lines.Scan() {
+		s.ended.Store(true)
 		if err := s.lines.Err(); err != nil {
 			return fmt.Errorf("receive message: %w", err)
 		}
--- a/common/jsonstream/stream_test.go
+++ b/common/jsonstream/stream_test.go
@@ -148,6 +148,18 @@
 	require.Error(t, s.Send(testMessage{}))
 }
 
+// TestSendAfterReportedEndIsTaken guards against a message that is taken although Receive has
+// reported the end of the stream: what closes the sending side runs later.
+func TestSendAfterReportedEndIsTaken(t *testing.T) {
+	written := 0
+	s := newStream(strings.NewReader(""), false, func([]byte) error { written++; return nil }, func() {}, testSilence)
+	defer s.Close()
+	require.NoError(t, s.Send(testMessage{}))
+	require.Equal(t, io.EOF, s.Receive(&testMessage{}))
+	require.ErrorIs(t, s.Send(testMessage{}), ErrEnded)
+	require.Equal(t, 1, written)
+}
+
 // TestRefusalAndEndAreReported checks what Open and Receive return when the peer
 // refuses a stream, ends it, or ctx ends.
 func TestRefusalAndEndAreReported(t *testing.T) {
