--- a/core/cell/crash.go
+++ b/core/cell/crash.go
@@ -151,8 +151,8 @@
 	}
 }
 
-// delayRestart lets a service task wait for longer after each crash. Its job goes on, since
-// the other tasks are at work and the crashes may have other causes.
+// delayRestart lets a service task wait before it starts again if many executors crashed under
+// it. Its job goes on: the other tasks are at work, and the crashes may have other causes.
 func (k *Kernel) delayRestart(s *stepRun, index int) {
 	t := &s.tasks[index]
 	delay := t.crashes.RestartDelay()
@@ -363,7 +363,8 @@
 		}
 	}
 	if found := k.executorsForIsolation(fitting, t.crashes.NeedsProof()); len(found) > 0 {
-		if s.Service && t.crashes.RestartDelay() > 0 && k.now.Monotonic < max(t.waitsSince(s), t.retryAt)+isolationCloseTime {
+		wasDelayed := s.Service && t.crashes.RestartDelay() > 0
+		if wasDelayed && k.now.Monotonic < max(t.waitsSince(s), t.retryAt)+isolationCloseTime {
 			return k.preferLeastHarm(fitting, found[0]), true
 		}
 		return found[0], true
@@ -472,12 +473,11 @@
 			continue
 		}
 		x.hasSuspects = true
-		observation := t.crashes.Observation()
+		observation := t.crashes.Observation
 		if r.step.Service {
-			// Its verdict needs no proof, and others wait for the executor.
-			observation = min(observation, suspicion.InnocentAge)
+			observation = t.crashes.ServiceObservation
 		}
-		if r.state == runActive && r.survived() >= observation {
+		if r.state == runActive && r.survived() >= observation() {
 			r.endIsolation()
 		}
 		if t.crashes.IsCleared(r.survived()) {
--- a/core/suspicion/record.go
+++ b/core/suspicion/record.go
@@ -2,16 +2,16 @@
 
 import "time"
 
-// InnocentAge is how long an executor must survive a run for the run to be out of suspicion.
-const InnocentAge = 2 * time.Second
-
 // Limits of the decisions.
 const (
 	// promptCrash is how long a run that an executor survived is still the likely cause
 	// of its crash. Tasks that crash executors mostly do so at their start.
 	promptCrash = 100 * time.Millisecond
+	// innocentAge is how long an executor must survive a run for the run to be out of
+	// suspicion.
+	innocentAge = 2 * time.Second
 	// shortObservation is how long a task that one executor crashed under runs in
-	// isolation; after more crashes it is InnocentAge.
+	// isolation; after more crashes it is innocentAge.
 	shortObservation = 250 * time.Millisecond
 	// maxUnisolatedCrashes is the number of crashes after which a task runs only in
 	// isolation, however long the executors survived it.
@@ -174,15 +174,19 @@
 	return shortObservation
 }
 
+// ServiceObservation is Observation for a task that lasts: it is never given up, so that no crash
+// must be proved.
+func (r Record) ServiceObservation() time.Duration { return min(r.Observation(), innocentAge) }
+
 // clearingAge returns how long an executor must survive the task to clear it.
 func (r Record) clearingAge() time.Duration {
-	return max(InnocentAge, r.longestAge())
+	return max(innocentAge, r.longestAge())
 }
 
 // HasOutlived reports whether an executor has survived a run of the task for longer than the
 // earlier ones, so that a crash is rather the work of another task.
 func (r Record) HasOutlived(survived time.Duration) bool {
-	return survived >= min(r.longestAge(), InnocentAge)
+	return survived >= min(r.longestAge(), innocentAge)
 }
 
 // longestAge returns how long an executor must survive the task to outlive its crashes.
@@ -218,7 +222,7 @@
 
 // IsInnocent reports whether an executor has survived a run for so long that its task is
 // out of suspicion.
-func IsInnocent(survived time.Duration) bool { return survived >= InnocentAge }
+func IsInnocent(survived time.Duration) bool { return survived >= innocentAge }
 
 // IsProven reports whether an executor has survived a run for so long that the task has proven
 // itself: a crash says nothing of it.
