Test that a failed step stops the service tasks of its job, listed as red

Found while looking for the cause of AVAIL elsewhere: Kernel.failJob ends a whole job as suspectTask did. The service tasks of another step are stopped at once, beyond their budget (3 away, 1 may be). Not mended: a job that has ended is stored without its work, so the next owner would stop the runs that were left.

--- a/core/cell/service_crash_test.go
+++ b/core/cell/service_crash_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"jacinthwind/core/fleet"
 	"jacinthwind/core/job"
 )
 
@@ -135,3 +136,18 @@
 		}
 	}
 }
+
+// TestFailedStepStopsServiceTasksAtWork guards against ending the service tasks of a job beyond
+// their budget since a task of another step has failed for good.
+func TestFailedStepStopsServiceTasksAtWork(t *testing.T) {
+	a := newAvailWorld(&randomWorld{world: newWorld(t, 4)})
+	j := simpleJob(1, 3, 500)
+	j.Steps[0].Service, j.Steps[0].MaxUnavailable = true, 1
+	j.Steps = append(j.Steps, job.Step{Count: 1, Size: fleet.Vector{CPU: 500, Mem: 100}, EstimateMs: 300})
+	a.taskTime = func(string, int) (time.Duration, fleet.RunEnd) { return 3 * time.Second, fleet.EndFailed }
+	a.advance(time.Second)
+	a.submitJob(j)
+	a.services = append(a.services, j)
+	a.advanceChecked(10 * time.Second)
+	require.Equal(t, job.Failed, a.jobState(j.ID))
+}
