Count the service runs of an executor as they begin and end

The order of executors for a task in isolation counted the service runs in each comparison, by walking all runs of both executors, while it sorted all that could be isolated, for each suspect and tick. The count is kept with the reserved resources now, and only the best executor is looked for. No decision changes.

--- a/core/cell/crash.go
+++ b/core/cell/crash.go
@@ -273,19 +273,18 @@
 	return true
 }
 
-// executorsForIsolation returns the executors on which runs can start in isolation. If
-// there are none, it closes one to new work.
-func (k *Kernel) executorsForIsolation(free []*executor, needsProof bool) []*executor {
-	var found []*executor
+// executorForIsolation returns the executor on which a run in isolation harms least. If there is
+// none, it closes one to new work and returns nil.
+func (k *Kernel) executorForIsolation(free []*executor, needsProof bool) *executor {
+	var found *executor
 	for _, x := range free {
-		if k.canIsolate(x, recentAnswer, needsProof) {
-			found = append(found, x)
+		if k.canIsolate(x, recentAnswer, needsProof) && (found == nil || compareForIsolation(x, found) < 0) {
+			found = x
 		}
 	}
-	if len(found) == 0 {
+	if found == nil {
 		k.closeForIsolation(free, isolationCloseTimeOf(needsProof))
 	}
-	slices.SortStableFunc(found, compareForIsolation)
 	return found
 }
 
@@ -341,7 +340,7 @@
 // for longer first.
 func compareForIsolation(a, b *executor) int {
 	return cmp.Or(
-		cmp.Compare(a.countServiceRuns(), b.countServiceRuns()),
+		cmp.Compare(a.serviceRuns, b.serviceRuns),
 		cmp.Compare(len(a.runs), len(b.runs)),
 		cmp.Compare(a.knownSince, b.knownSince),
 	)
@@ -362,12 +361,12 @@
 			return x, false
 		}
 	}
-	if found := k.executorsForIsolation(fitting, t.crashes.NeedsProof()); len(found) > 0 {
+	if found := k.executorForIsolation(fitting, t.crashes.NeedsProof()); found != nil {
 		wasDelayed := s.Service && t.crashes.RestartDelay() > 0
 		if wasDelayed && k.now.Monotonic < max(t.waitsSince(s), t.retryAt)+isolationCloseTime {
-			return k.preferLeastHarm(fitting, found[0]), true
+			found = k.preferLeastHarm(fitting, found)
 		}
-		return found[0], true
+		return found, true
 	}
 	if s.Service && k.now.Monotonic >= t.waitsSince(s)+maxIsolationWait {
 		return k.executorOfSettledServices(fitting), false
--- a/core/cell/executors.go
+++ b/core/cell/executors.go
@@ -351,6 +351,7 @@
 	r.endIsolation()
 	if r.step.Service {
 		r.executor.serviceUsed = r.executor.serviceUsed.Sub(r.reserved)
+		r.executor.serviceRuns--
 	}
 	r.executor.lastBusyAt = k.now.Monotonic
 	r.executor.used = r.executor.used.Sub(r.reserved)
--- a/core/cell/runs.go
+++ b/core/cell/runs.go
@@ -23,6 +23,7 @@
 	x.used = x.used.Add(r.reserved)
 	if s.Service {
 		x.serviceUsed = x.serviceUsed.Add(r.reserved)
+		x.serviceRuns++
 	}
 	k.teamUsage[s.job.Team] = k.teamUsage[s.job.Team].Add(r.charged)
 	if t.state == taskWaiting {
--- a/core/cell/state.go
+++ b/core/cell/state.go
@@ -198,8 +198,10 @@
 	// incarnationSeenAt is when the present incarnation was noticed. Answers to calls
 	// that were sent earlier may come from the previous one.
 	incarnationSeenAt time.Duration
-	// used is what all runs reserve, and serviceUsed what the service runs do.
+	// used is what all runs reserve, and serviceUsed what the service runs do, of which there
+	// are serviceRuns.
 	used, serviceUsed fleet.Vector
+	serviceRuns       int
 	runs              map[runKey]*run
 	// unsizedRuns counts the runs in the executor's last list that nobody wants and whose
 	// size is not known. Until a list shows that they have ended nothing starts here.
--- a/core/cell/wave.go
+++ b/core/cell/wave.go
@@ -208,7 +208,7 @@
 		}
 		// The last VMs in the order run service tasks. Their disruption budgets take
 		// time, so some of them are emptied from the start.
-		emptyEarly := i >= len(open)-1-maxDown/serviceVMDivisor && x.countServiceRuns() > 0
+		emptyEarly := i >= len(open)-1-maxDown/serviceVMDivisor && x.serviceRuns > 0
 		if k.now.Monotonic >= x.cordonAfter {
 			x.cordoned = x.cordoned || i < maxDown+extraCordons-down || emptyEarly
 		}
@@ -229,17 +229,6 @@
 	return x != nil && len(x.runs) == 0 && k.surplusCores[vm.Pool] >= vmCores(vm)
 }
 
-// countServiceRuns counts the service runs of an executor.
-func (x *executor) countServiceRuns() int {
-	n := 0
-	for _, r := range x.runs {
-		if r.step.Service {
-			n++
-		}
-	}
-	return n
-}
-
 // cordonedPreference makes a cordoned VM precede others with up to ten fewer runs.
 const cordonedPreference = 20
 
