--- a/core/cell/avail_test.go
+++ b/core/cell/avail_test.go
@@ -68,6 +68,21 @@
 	orderedAway map[string]bool
 }
 
+// newAvailWorld returns a world that checks which service tasks orders end.
+func newAvailWorld(r *randomWorld) *availWorld {
+	return &availWorld{randomWorld: r, atWork: map[string]*fakeExecutor{}, awaySince: map[string]time.Duration{}, orderedAway: map[string]bool{}}
+}
+
+// submitService submits a service job that orders may end budget tasks of at a time.
+func (a *availWorld) submitService(count int, cpu int64, budget int) *job.Job {
+	a.jobs++
+	j := simpleJob(a.jobs, count, cpu)
+	j.Steps[0].Service, j.Steps[0].MaxUnavailable = true, budget
+	a.submitJob(j)
+	a.services = append(a.services, j)
+	return j
+}
+
 // advanceChecked advances the time and checks each end of a task that was at work.
 func (a *availWorld) advanceChecked(d time.Duration) {
 	for end := a.now + d; a.now < end; {
--- a/core/cell/crash.go
+++ b/core/cell/crash.go
@@ -66,8 +66,8 @@
 }
 
 // blameCrash records the loss of an executor at the tasks that may have caused it, and
-// gives up those that have crashed too many. The loss is certain to be a crash if the
-// executor's incarnation has ended.
+// gives up those that have crashed too many, or holds them back if they last. The loss is
+// certain to be a crash if the executor's incarnation has ended.
 func (k *Kernel) blameCrash(x *executor, certain bool) {
 	if k.isPlannedEnd(x) {
 		return
@@ -87,7 +87,10 @@
 	suspects := suspicion.Suspects(victims)
 	for i, r := range runs {
 		t := r.task()
-		if t.currentRun != r || r.step.job.state.IsFinal() || (r.step.Service && suspicion.IsProven(victims[i].Survived)) {
+		if t.currentRun != r || r.step.job.state.IsFinal() {
+			continue
+		}
+		if r.step.Service && suspicion.IsProven(victims[i].Survived) {
 			continue
 		}
 		switch {
--- a/core/cell/service_crash_test.go
+++ b/core/cell/service_crash_test.go
@@ -11,21 +11,6 @@
 	"jacinthwind/core/job"
 )
 
-// newAvailWorld returns a world that checks which service tasks orders end.
-func newAvailWorld(r *randomWorld) *availWorld {
-	return &availWorld{randomWorld: r, atWork: map[string]*fakeExecutor{}, awaySince: map[string]time.Duration{}, orderedAway: map[string]bool{}}
-}
-
-// submitService submits a service job that orders may end budget tasks of at a time.
-func (a *availWorld) submitService(count int, cpu int64, budget int) *job.Job {
-	a.jobs++
-	j := simpleJob(a.jobs, count, cpu)
-	j.Steps[0].Service, j.Steps[0].MaxUnavailable = true, budget
-	a.submitJob(j)
-	a.services = append(a.services, j)
-	return j
-}
-
 // executorOf returns the executor that runs a task, or nil.
 func (w *world) executorOf(task string) *fakeExecutor {
 	for _, x := range w.executors {
@@ -127,6 +112,7 @@
 	w.submitJob(j)
 	task := job.TaskID{Job: j.ID}.String()
 	for range 5 {
+		// Just longer than what proves a task.
 		w.advance(10100 * time.Millisecond)
 		x := w.executorOf(task)
 		require.NotNil(t, x)
