--- a/review/standin-2/net.go
+++ b/review/standin-2/net.go
@@ -104,6 +104,15 @@
 	}
 }
 
+// silence makes all open connections silent for good, without a reset. New ones work.
+func (s *server) silence() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.silent = true
+	}
+}
+
 // close ends the server and its connections.
 func (s *server) close() {
 	s.mu.Lock()
@@ -134,15 +143,15 @@
 
 type cutConn struct {
 	net.Conn
-	s            *server
-	wasCut, dead bool
+	s                    *server
+	wasCut, dead, silent bool
 }
 
 // wait waits for the end of a cut and reports whether the connection still works.
 func (c *cutConn) wait() bool {
 	c.s.mu.Lock()
 	defer c.s.mu.Unlock()
-	for c.s.cut && !c.s.closed {
+	for (c.s.cut || c.silent) && !c.s.closed && !c.dead {
 		c.s.cond.Wait()
 	}
 	return !c.dead
@@ -169,6 +178,8 @@
 func (c *cutConn) Close() error {
 	c.s.mu.Lock()
 	delete(c.s.conns, c)
+	c.dead = true
+	c.s.cond.Broadcast()
 	c.s.mu.Unlock()
 	return c.Conn.Close()
 }
--- a/review/standin-2/soak.go
+++ b/review/standin-2/soak.go
@@ -293,6 +293,17 @@
 			w.store.mu.Lock()
 			w.store.lostShare = 0
 			w.store.mu.Unlock()
+		case "silence":
+			w.note("all open connections to the store and the executors fall silent")
+			w.storeAt.silence()
+			w.cloudAt.silence()
+			for _, x := range w.executors {
+				x.mu.Lock()
+				s := x.server
+				x.mu.Unlock()
+				s.silence()
+			}
+			time.Sleep(2 * time.Second)
 		case "slow":
 			w.note("the store is slow")
 			w.store.mu.Lock()
