Review: stand-ins end all that they started, and answer without a lock

Cause: a restart under way could outlive a script that was ended by a signal, and an executor with a silent connection stood still. Change: all started processes are ended by their ids; answers are written at the end.

--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -395,10 +395,11 @@
 		}
 		w.note("node %s gets SIGTERM, the owner is %s", nd.name, owner)
 		_ = nd.cmd.Process.Signal(syscall.SIGTERM)
-		w.restarts.Go(func() {
-			_ = nd.cmd.Wait()
+		ended := nd.cmd
+		go func() {
+			_ = ended.Wait()
 			_ = w.startNode(nd)
-		})
+		}()
 		time.Sleep(gap)
 	}
 }
--- a/review/standin-2/executor.go
+++ b/review/standin-2/executor.go
@@ -286,7 +286,12 @@
 func (x *executor) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	late, lost := x.w.drawFault(r.URL.Path)
 	if late == 0 && !lost {
-		x.serve(w, r)
+		// The answer is written once the executor is free for others again.
+		answer := httptest.NewRecorder()
+		x.serve(answer, r)
+		w.Header().Set("Content-Type", "application/json")
+		w.WriteHeader(answer.Code)
+		_, _ = w.Write(answer.Body.Bytes())
 		return
 	}
 	body, _ := io.ReadAll(r.Body)
--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -57,8 +58,10 @@
 	// ticketsToLast is set if only tasks that last need a ticket.
 	ticketsToLast bool
 	works         func(task, spec string) work
-	// restarts are the restarts of nodes that are under way.
-	restarts sync.WaitGroup
+	// ending is set once no more processes may be started.
+	endMu   sync.Mutex
+	ending  bool
+	started []*os.Process
 
 	// lateShare of the orders are carried out late without an answer, and of lostShare the
 	// answer is lost; lateHolds includes renewals.
@@ -360,11 +363,20 @@
 
 // startNode starts the process of a node with the command of the deploy file.
 func (w *world) startNode(nd *node) error {
+	w.endMu.Lock()
+	defer w.endMu.Unlock()
+	if w.ending {
+		return fmt.Errorf("the case is ending")
+	}
 	nd.cmd = exec.Command(w.program, "edge")
 	nd.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "JACINTHWIND_CONFIG=" + nd.config}
 	nd.cmd.Stdout, nd.cmd.Stderr = nd.log, nd.log
 	w.note("node %s starts", nd.name)
-	return nd.cmd.Start()
+	if err := nd.cmd.Start(); err != nil {
+		return err
+	}
+	w.started = append(w.started, nd.cmd.Process)
+	return nil
 }
 
 // killNode kills the process of a node.
@@ -374,13 +386,22 @@
 	_ = nd.cmd.Wait()
 }
 
-// stopAll ends all processes.
+// stopAll ends all processes that were started.
 func (w *world) stopAll() {
-	w.restarts.Wait()
-	for _, nd := range w.nodes {
-		if nd.cmd != nil && nd.cmd.Process != nil && nd.cmd.ProcessState == nil {
-			_ = nd.cmd.Process.Kill()
-			_ = nd.cmd.Wait()
+	w.endMu.Lock()
+	w.ending = true
+	started := w.started
+	w.endMu.Unlock()
+	for _, p := range started {
+		_ = p.Kill()
+	}
+	// Some are waited for elsewhere.
+	for _, p := range started {
+		for range 100 {
+			if _, err := p.Wait(); err != nil && p.Signal(syscall.Signal(0)) != nil {
+				break
+			}
+			time.Sleep(20 * time.Millisecond)
 		}
 	}
 	if os.Getenv("KEEP") == "" {
