Count with the longest lease after an executor has started again

Cause: an executor that is back under its id takes calls that were meant for its earlier incarnation. A deadline on that one's clock is far ahead on a clock that began anew, so the executor keeps its runs for as long as it ever grants, holdMaxMs. The kernel set the granted deadline to zero when it noticed the new incarnation, and counted with its own 4 s from then on. Renewals to a silent executor repeated the deadline each 0.3 s.

Change: core/cell/lease.go keeps until when the known incarnation may continue its runs, with the longest lease for one that is new; silent executors get no deadline; runs that the known incarnation has not shown are kept over a new one, and end with the longest lease. The list of VMs ends no run that began after it. The test world delivers starts to a later incarnation while their call is open.

Ruled out: a slow clock (the overlap is 1.7 s, not 2 % of the lease), an outdated answer (the run was given up 4 s after the last one).

--- a/core/cell/crash.go
+++ b/core/cell/crash.go
@@ -73,11 +73,11 @@
 		return
 	}
 	k.noteLoss(x)
-	if len(x.runs) == 0 {
+	runs := slices.DeleteFunc(slices.Clone(sortedRuns(x)), func(r *run) bool { return r.blamed })
+	if len(runs) == 0 {
 		return
 	}
 	rackLost := k.lostWithItsRack(x, certain)
-	runs := sortedRuns(x)
 	victims := make([]suspicion.Victim, len(runs))
 	doubtful := false
 	for i, r := range runs {
@@ -87,6 +87,7 @@
 	suspects := suspicion.Suspects(victims)
 	for i, r := range runs {
 		t := r.task()
+		r.blamed = true
 		if t.currentRun != r || r.step.job.state.IsFinal() {
 			continue
 		}
--- a/core/cell/executors.go
+++ b/core/cell/executors.go
@@ -131,13 +131,17 @@
 	k.logExecutorLoss(x, "it has a new incarnation")
 	k.blameCrash(x, true)
 	for _, r := range sortedRuns(x) {
-		if r.state != runStarting {
+		if r.isConfirmed() {
 			k.abandonRun(r, "reborn")
+			continue
 		}
+		// The new incarnation may carry out the start, so that only its answers show what
+		// became of it.
+		r.stopConfirmed, r.stopSentAt = false, 0
 	}
 	x.incarnationStartedMs, x.fenced = startedMs, false
 	x.ackedEnd, x.seenEnd, x.moreEnded = 0, 0, false
-	x.clockMs, x.grantedDeadlineMs = 0, 0
+	x.clockMs, x.leaseUntilMs = 0, 0
 	x.failureStreak, x.knownSince, x.incarnationSeenAt = 0, k.now.Monotonic, k.now.Monotonic
 	x.closedUntil, x.aliveAt, x.lossNoted = 0, 0, false
 	x.expectedStartMs, x.refutedStartMs, x.unsizedRuns = 0, 0, 0
@@ -151,20 +155,28 @@
 // updateClock reads the executor's clock from the answer to a call that was sent at
 // the given time. A clock that went back belongs to a new incarnation, whose start
 // time comes with the next renewal. Answers may overtake each other, so only a
-// call that was sent after the last reading counts.
+// call that was sent after the last reading counts as a later one.
 func (k *Kernel) updateClock(x *executor, sent time.Duration, clock int64) {
-	if clock <= 0 {
+	if clock <= 0 || sent < x.incarnationSeenAt {
 		return
 	}
 	x.lastAnswerAt, x.aliveAt = k.now.Monotonic, max(x.aliveAt, sent)
-	if x.clockMs > 0 && sent < x.clockReadAt {
-		return
-	}
+	x.absent = x.absent && sent < x.absentSince
 	elapsed := sent - x.clockReadAt
-	if x.clockMs > 0 && clock < x.clockMs+(elapsed*1000/clockDriftFactorPermille-clockRegressionSlack).Milliseconds() {
+	if elapsed > 0 {
+		elapsed = elapsed * 1000 / clockDriftFactorPermille
+	}
+	wasReset := x.clockMs > 0 && clock < x.clockMs+(elapsed-clockRegressionSlack).Milliseconds()
+	if wasReset {
 		k.resetIncarnation(x, 0)
 	}
+	if x.clockMs > 0 && sent < x.clockReadAt {
+		return
+	}
 	x.clockMs, x.clockReadAt = clock, k.now.Monotonic
+	if wasReset {
+		k.assumeLongestLease(x)
+	}
 }
 
 // isUsable reports whether an executor may get new work.
@@ -176,45 +188,6 @@
 		!k.evacuated[x.DataCentre] && x.avoidUntil <= k.now.Monotonic
 }
 
-// deadlinesExpired reports whether all deadlines that were granted to an executor
-// have passed, even on a slow clock.
-func (k *Kernel) deadlinesExpired(x *executor) bool {
-	if k.now.Monotonic <= k.claimedAt+k.inheritedDeadlineBound() {
-		return false
-	}
-	if x.clockMs == 0 {
-		return k.now.Monotonic > x.knownSince+k.inheritedDeadlineBound()
-	}
-	return k.now.Monotonic > x.clockReadAt+withClockDrift(time.Duration(x.grantedDeadlineMs-x.clockMs)*time.Millisecond)+expirySlack
-}
-
-// inheritedDeadlineBound returns the longest time for which runs of an earlier
-// owner continue.
-func (k *Kernel) inheritedDeadlineBound() time.Duration {
-	return withClockDrift(k.deadlineSpan()) + expirySlack
-}
-
-// deadlineSpan returns the time from the grant of a deadline to the deadline.
-func (k *Kernel) deadlineSpan() time.Duration {
-	return min(maxDeadlineSpan, k.MaxRenewalGap-deadlineMargin)
-}
-
-// withClockDrift returns the longest time on our clock in which a slow clock
-// advances by d.
-func withClockDrift(d time.Duration) time.Duration { return d * clockDriftFactorPermille / 1000 }
-
-// nextDeadline returns the latest deadline that may be granted now, on the
-// executor's clock. It is at most deadlineSpan after the time until which the
-// ownership is proved.
-func (k *Kernel) nextDeadline(x *executor) int64 {
-	if x.clockMs == 0 {
-		return 0
-	}
-	left := min(k.deadlineSpan(), k.ownershipProvedUntil()+k.deadlineSpan()-k.now.Monotonic)
-	elapsed := k.now.Monotonic - x.clockReadAt
-	return x.clockMs + (elapsed + left).Milliseconds()
-}
-
 // checkExecutors repeats unanswered stops and gives up the runs of executors that
 // must have ended them.
 func (k *Kernel) checkExecutors() {
@@ -236,14 +209,9 @@
 		if !silent || (!gone && !k.deadlinesExpired(x)) {
 			continue
 		}
-		reason := "the executor was silent until its deadline passed"
-		if gone {
-			reason = "the VM of the executor is not up"
-		}
-		k.logExecutorLoss(x, reason)
-		k.blameCrash(x, gone)
-		for _, r := range sortedRuns(x) {
-			k.abandonRun(r, reason)
+		k.giveUpRuns(x, gone)
+		if len(x.runs) > 0 {
+			continue
 		}
 		x.moreEnded = false
 		if !x.listed {
@@ -255,6 +223,24 @@
 	}
 }
 
+// giveUpRuns gives up the runs of a silent executor that must have ended, which are all of
+// them but for those that a later incarnation may have started.
+func (k *Kernel) giveUpRuns(x *executor, gone bool) {
+	reason := "the executor was silent until its deadline passed"
+	if gone {
+		reason = "the VM of the executor is not up"
+	}
+	ended := slices.DeleteFunc(slices.Clone(sortedRuns(x)), func(r *run) bool { return !r.isConfirmed() && !k.hasStrayRunEnded(r) })
+	if len(ended) == 0 && len(x.runs) > 0 {
+		return
+	}
+	k.logExecutorLoss(x, reason)
+	k.blameCrash(x, gone)
+	for _, r := range ended {
+		k.abandonRun(r, reason)
+	}
+}
+
 // retryStops repeats stop orders that got no answer.
 func (k *Kernel) retryStops(x *executor) {
 	if x.misses > 0 {
--- a/core/cell/fake_executor_test.go
+++ b/core/cell/fake_executor_test.go
@@ -227,7 +227,7 @@
 	w.runAfter(max(delay, 5*time.Millisecond), func() {
 		x := w.executors[o.Executor]
 		if x == nil || x.unreachable || x.unreachableFor[k] || x.down || x.Address != o.Address || !answered {
-			w.runAfter(600*time.Millisecond, func() {
+			w.runAfter(testCallTimeout, func() {
 				w.answerOwner(k, cell.Renewed{Executor: o.Executor, Sent: sent, State: fleet.ExecutorState{Outcome: fleet.OrderUnknown}})
 			})
 			return
--- /dev/null
+++ b/core/cell/incarnation_test.go
@@ -0,0 +1,140 @@
+package cell_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"jacinthwind/core/cell"
+	"jacinthwind/core/fleet"
+	"jacinthwind/core/job"
+)
+
+// restartUnseen lets an executor crash and start again under its id. Its entry does not show
+// the new incarnation yet.
+func (w *world) restartUnseen(x *fakeExecutor) {
+	if !x.down {
+		w.crash(x)
+		w.advance(300 * time.Millisecond)
+	}
+	x.down, x.bootedAt, x.StartedMs = false, w.now, w.now.Milliseconds()
+	w.setVM(x.ID, fleet.VMUp)
+}
+
+// newWorldOfUnseenRestart returns a world in which an idle executor has crashed and started
+// again under its id between two renewals, and has then taken the start of a long task.
+// Another executor joins after that. The entry does not show the new incarnation yet.
+func newWorldOfUnseenRestart(t *testing.T) (w *world, x *fakeExecutor, task string) {
+	w = newWorld(t, 1)
+	w.taskTime = func(string, int) (time.Duration, fleet.RunEnd) { return 20 * time.Second, fleet.EndDone }
+	w.advance(20 * time.Second)
+	x = w.executors["e0"]
+	w.restartUnseen(x)
+	j := simpleJob(1, 1, 1000)
+	w.submitJob(j)
+	w.advance(100 * time.Millisecond)
+	require.Len(t, x.runs, 1, "the run starts in the new incarnation")
+	w.addExecutor("e1")
+	w.listExecutors()
+	return w, x, j.ID + ".0.0.0"
+}
+
+// TestRunOfNewIncarnationIsNotDoubled guards against starting a task beside its run on an
+// executor that was cut off soon after it had started again under its id: it took the deadline
+// on the clock of its earlier incarnation for as long as it ever grants (review case 7).
+func TestRunOfNewIncarnationIsNotDoubled(t *testing.T) {
+	w, x, task := newWorldOfUnseenRestart(t)
+	w.advance(400 * time.Millisecond)
+	x.unreachable = true
+	w.advance(10 * time.Second)
+	require.Empty(t, x.runs)
+	require.Equal(t, 2, w.starts[task])
+}
+
+// TestUnansweredStartInNewIncarnationIsNotDoubled guards against the same if the executor is cut
+// off before any answer shows the new incarnation.
+func TestUnansweredStartInNewIncarnationIsNotDoubled(t *testing.T) {
+	w := newWorld(t, 1)
+	w.taskTime = func(string, int) (time.Duration, fleet.RunEnd) { return 20 * time.Second, fleet.EndDone }
+	w.advance(20 * time.Second)
+	x := w.executors["e0"]
+	w.restartUnseen(x)
+	w.orderDelivery = func(string, string) (time.Duration, bool) { return time.Millisecond, false }
+	j := simpleJob(1, 1, 1000)
+	w.submitJob(j)
+	w.advance(50 * time.Millisecond)
+	require.Len(t, x.runs, 1, "the run starts in the new incarnation")
+	x.unreachable = true
+	w.orderDelivery = deliverPromptly
+	w.addExecutor("e1")
+	w.listExecutors()
+	w.advance(10 * time.Second)
+	require.Empty(t, x.runs)
+	require.Equal(t, 2, w.starts[j.ID+".0.0.0"])
+}
+
+// TestUnansweredStartIsFoundInNewIncarnation guards against starting a task again whose
+// unanswered start was carried out by the executor's new incarnation.
+func TestUnansweredStartIsFoundInNewIncarnation(t *testing.T) {
+	w := newWorld(t, 1)
+	w.taskTime = func(string, int) (time.Duration, fleet.RunEnd) { return 3 * time.Second, fleet.EndDone }
+	w.advance(20 * time.Second)
+	x := w.executors["e0"]
+	w.restartUnseen(x)
+	w.orderDelivery = func(string, string) (time.Duration, bool) { return time.Millisecond, false }
+	j := simpleJob(1, 1, 1000)
+	w.submitJob(j)
+	w.advance(700 * time.Millisecond)
+	w.orderDelivery = deliverPromptly
+	require.Len(t, x.runs, 1, "the run starts in the new incarnation")
+	w.addExecutor("e1")
+	w.listExecutors()
+	w.advance(6 * time.Second)
+	require.Equal(t, 1, w.starts[j.ID+".0.0.0"])
+	require.Equal(t, job.Succeeded, w.jobState(j.ID))
+}
+
+// TestSilentExecutorGetsNoDeadline guards against renewals that would let the runs of an
+// executor that has started again go on for as long as they are repeated.
+func TestSilentExecutorGetsNoDeadline(t *testing.T) {
+	w := newWorld(t, 1)
+	w.advance(2 * time.Second)
+	missed := cell.Renewed{Executor: "e0", Sent: w.now, State: fleet.ExecutorState{Outcome: fleet.OrderUnknown}}
+	w.kernel.Step(w.clock(), missed)
+	renewals := 0
+	for range 100 {
+		w.now += testStep
+		for _, e := range w.kernel.Step(w.clock(), cell.Tick{}) {
+			if r, ok := e.(cell.Renew); ok {
+				renewals++
+				require.Zero(t, r.Order.DeadlineMs)
+				missed.Sent = w.now
+				w.kernel.Step(w.clock(), missed)
+			}
+		}
+	}
+	require.NotZero(t, renewals)
+}
+
+// TestRunBegunAfterVMListIsKept guards against taking a run for ended because of a list of VMs
+// that was requested while its executor was down: it has started again since.
+func TestRunBegunAfterVMListIsKept(t *testing.T) {
+	w := newWorld(t, 1)
+	w.taskTime = func(string, int) (time.Duration, fleet.RunEnd) { return 20 * time.Second, fleet.EndDone }
+	w.advance(20*time.Second + 100*time.Millisecond)
+	x := w.executors["e0"]
+	w.crash(x)
+	w.advance(500 * time.Millisecond)
+	w.step(cell.VMsListed{VMs: w.vms, RequestedAt: w.now})
+	w.restartUnseen(x)
+	j := simpleJob(1, 1, 1000)
+	w.submitJob(j)
+	w.advance(50 * time.Millisecond)
+	require.Len(t, x.runs, 1, "the run starts in the new incarnation")
+	x.unreachable = true
+	w.addExecutor("e1")
+	w.listExecutors()
+	w.advance(10 * time.Second)
+	require.Equal(t, 2, w.starts[j.ID+".0.0.0"])
+}
--- /dev/null
+++ b/core/cell/lease.go
@@ -0,0 +1,89 @@
+package cell
+
+import "time"
+
+// strayCallWindow is how long after the start of an incarnation calls that were meant for the
+// previous one may reach it: the time between two renewals of an idle executor, the wait for
+// an answer, and as long as an owner may be suspended without losing its pools.
+const strayCallWindow = 6 * time.Second
+
+// deadlineSpan returns the time from the grant of a deadline to the deadline.
+func (k *Kernel) deadlineSpan() time.Duration {
+	return min(maxDeadlineSpan, k.MaxRenewalGap-deadlineMargin)
+}
+
+// withClockDrift returns the longest time on our clock in which a slow clock
+// advances by d.
+func withClockDrift(d time.Duration) time.Duration { return d * clockDriftFactorPermille / 1000 }
+
+// longestLease returns the longest time for which an executor keeps its runs going after a
+// call. An executor that has started again takes the deadlines that were meant for its
+// previous incarnation for as long as it ever grants, since its clock began anew.
+func (k *Kernel) longestLease() time.Duration {
+	return withClockDrift(k.MaxRenewalGap) + expirySlack
+}
+
+// nextDeadline returns the latest deadline that may be granted now, on the
+// executor's clock. It is at most deadlineSpan after the time until which the
+// ownership is proved.
+func (k *Kernel) nextDeadline(x *executor) int64 {
+	if x.clockMs == 0 {
+		return 0
+	}
+	left := min(k.deadlineSpan(), k.ownershipProvedUntil()+k.deadlineSpan()-k.now.Monotonic)
+	return x.clockAt(k.now.Monotonic + left)
+}
+
+// clockAt returns the reading of the executor's clock at a time.
+func (x *executor) clockAt(at time.Duration) int64 {
+	return x.clockMs + (at - x.clockReadAt).Milliseconds()
+}
+
+// grantDeadline returns the deadline that the next call grants, and notes it.
+func (k *Kernel) grantDeadline(x *executor) int64 {
+	deadline := k.nextDeadline(x)
+	x.leaseUntilMs = max(x.leaseUntilMs, deadline)
+	return deadline
+}
+
+// assumeInheritedLease notes for how long an incarnation that answers this owner for the first
+// time may continue its runs. An earlier owner may have granted as much as this one does, and
+// calls that were meant for its previous incarnation more than that.
+func (k *Kernel) assumeInheritedLease(x *executor) {
+	if time.Duration(x.clockMs)*time.Millisecond < strayCallWindow+k.MaxRenewalGap {
+		k.assumeLongestLease(x)
+		return
+	}
+	x.leaseUntilMs = max(x.leaseUntilMs, x.clockAt(k.now.Monotonic+k.deadlineSpan()))
+}
+
+// assumeLongestLease notes that a call which was meant for the previous incarnation of an
+// executor may have been carried out until now.
+func (k *Kernel) assumeLongestLease(x *executor) {
+	if x.clockMs != 0 {
+		x.leaseUntilMs = max(x.leaseUntilMs, x.clockAt(k.now.Monotonic+k.MaxRenewalGap))
+	}
+}
+
+// deadlinesExpired reports whether all deadlines that were granted to the known incarnation
+// of an executor have passed, even on a slow clock.
+func (k *Kernel) deadlinesExpired(x *executor) bool {
+	if x.clockMs == 0 {
+		return k.now.Monotonic > x.knownSince+k.longestLease()
+	}
+	return k.now.Monotonic > x.clockReadAt+withClockDrift(time.Duration(x.leaseUntilMs-x.clockMs)*time.Millisecond)+expirySlack
+}
+
+// isConfirmed reports whether the known incarnation of the executor has shown that it has the
+// run. The start of any other run may have been carried out by a later incarnation.
+func (r *run) isConfirmed() bool { return r.beganAt != 0 }
+
+// hasStrayRunEnded reports whether a run that is not confirmed must have ended, even if a later
+// incarnation of its silent executor started it and took all deadlines that were sent.
+func (k *Kernel) hasStrayRunEnded(r *run) bool {
+	x := r.executor
+	if x.absent && r.answeredAt != 0 && r.answeredAt < x.absentSince {
+		return true
+	}
+	return k.now.Monotonic > max(r.sentAt, r.answeredAt, x.unansweredGrantAt)+k.longestLease()
+}
--- a/core/cell/recover.go
+++ b/core/cell/recover.go
@@ -101,7 +101,7 @@
 		// waits for.
 		return
 	}
-	if k.now.Monotonic < k.claimedAt+k.inheritedDeadlineBound() && !k.allFenced() {
+	if k.now.Monotonic < k.claimedAt+withClockDrift(k.deadlineSpan())+expirySlack && !k.allFenced() {
 		return
 	}
 	if slices.ContainsFunc(k.sortedExecutors(), func(x *executor) bool { return x.moreEnded }) {
--- a/core/cell/renewal.go
+++ b/core/cell/renewal.go
@@ -48,22 +48,18 @@
 		x.renewing = true
 		order := fleet.Renewal{
 			Address: x.Address, Executor: x.ID, Token: k.Token,
-			Acknowledged: x.ackedEnd, WaitMs: wait, DeadlineMs: k.nextDeadline(x),
+			Acknowledged: x.ackedEnd, WaitMs: wait,
 		}
 		if x.misses > 0 || x.expectedStartMs != 0 {
-			// A new incarnation numbers its ends from the beginning, so an old number
-			// would acknowledge ends that this owner has not seen.
+			// A new incarnation may get it. It numbers its ends from the beginning, so an old
+			// number would acknowledge ends that this owner has not seen, and it would take a
+			// deadline on the clock of the old one for as long as it ever grants. The runs of
+			// a silent executor have to expire, too.
 			order.Acknowledged = 0
+		} else {
+			order.DeadlineMs = k.grantDeadline(x)
 		}
-		// A silent executor gets no later deadline, so that its runs expire.
-		if x.misses > 0 || order.DeadlineMs <= x.grantedDeadlineMs {
-			order.DeadlineMs = x.grantedDeadlineMs
-		}
-		x.grantedDeadlineMs = order.DeadlineMs
-		if x.expectedStartMs != 0 {
-			// The deadline is on the clock of the incarnation that may have ended.
-			order.DeadlineMs = 0
-		}
+		x.renewalGrants = order.DeadlineMs != 0
 		k.emit(Renew{order})
 	}
 }
@@ -110,6 +106,7 @@
 		x.renewalEndedAt = k.now.Monotonic
 	}
 	if e.Sent < x.incarnationSeenAt {
+		k.assumeLongestLease(x)
 		return
 	}
 	s := e.State
@@ -119,6 +116,9 @@
 		k.depose("executor " + x.ID + " has seen a higher token")
 		return
 	default:
+		if x.renewalGrants {
+			x.unansweredGrantAt = k.now.Monotonic
+		}
 		k.markSilent(x, s.Outcome)
 		x.misses++
 		x.changeAddress()
@@ -126,6 +126,7 @@
 	}
 	if s.StartedMs != 0 && s.StartedMs != x.incarnationStartedMs {
 		if x.incarnationStartedMs != 0 {
+			x.unconfirmRuns(s.Active)
 			k.resetIncarnation(x, s.StartedMs)
 		}
 		x.incarnationStartedMs = s.StartedMs
@@ -146,6 +147,9 @@
 	x.answeredAddress = x.Address
 	x.fenced, x.absent, x.lastAnswerAt, x.aliveAt = true, false, k.now.Monotonic, max(x.aliveAt, e.Sent)
 	x.clockMs, x.clockReadAt = s.ClockMs, k.now.Monotonic
+	if firstAnswer {
+		k.assumeInheritedLease(x)
+	}
 	for _, end := range s.Ended {
 		if end.Number > x.seenEnd {
 			k.handleRunEnd(x, end)
@@ -170,6 +174,21 @@
 	k.adjustThrottles(x)
 }
 
+// unconfirmRuns takes back what is known of the runs that a new incarnation lists: it has
+// started them, and not the one that was known.
+func (x *executor) unconfirmRuns(active []fleet.ActiveRun) {
+	for _, a := range active {
+		r := x.runs[runKey{a.Task, a.Run}]
+		if r == nil {
+			continue
+		}
+		r.beganAt, r.blamed = 0, true
+		if r.state == runActive {
+			r.state = runUnknown
+		}
+	}
+}
+
 // reconcileRuns compares the runs that an executor lists with those that this owner
 // tracks.
 func (k *Kernel) reconcileRuns(x *executor, sent time.Duration, active []fleet.ActiveRun, first bool) {
@@ -189,8 +208,10 @@
 			continue
 		}
 		if r.state == runStarting || r.state == runUnknown {
-			r.state = runActive
-			r.answeredAt, r.beganAt = k.now.Monotonic, k.now.Monotonic
+			r.state, r.answeredAt = runActive, k.now.Monotonic
+		}
+		if r.beganAt == 0 {
+			r.beganAt, r.blamed = k.now.Monotonic, false
 		}
 		r.unlisted = false
 		if r.firstReportAt == 0 {
@@ -262,7 +283,7 @@
 	s := &stepRun{job: j, occurrence: id.Occurrence, index: id.Step, Step: &j.Steps[id.Step], tasks: make([]task, id.Index+1)}
 	r := k.reserveRun(x, s, id.Index, a.Run)
 	s.tasks[id.Index].currentRun = nil
-	r.state, r.answeredAt = runActive, k.now.Monotonic
+	r.state, r.answeredAt, r.beganAt = runActive, k.now.Monotonic, k.now.Monotonic
 	k.stopRun(r)
 	return r
 }
--- a/core/cell/runs.go
+++ b/core/cell/runs.go
@@ -48,11 +48,9 @@
 		x.isolatedRuns++
 	}
 	r.state, r.sentAt = runStarting, k.now.Monotonic
-	deadline := max(k.nextDeadline(x), x.grantedDeadlineMs)
-	x.grantedDeadlineMs = deadline
 	k.emit(Start{fleet.StartOrder{
 		Address: x.Address, Executor: x.ID, Task: r.name, Run: number, Spec: s.job.Spec,
-		DeadlineMs: deadline, Token: k.Token, Checkpoint: s.tasks[index].checkpoint,
+		DeadlineMs: k.grantDeadline(x), Token: k.Token, Checkpoint: s.tasks[index].checkpoint,
 		Ticket: s.tickets[x.ID],
 	}})
 	k.log(event.RunStarted, "task", r.name, "run", number, "executor", x.ID, "waited_ms", (k.now.Monotonic - s.readyAt).Milliseconds(),
--- a/core/cell/state.go
+++ b/core/cell/state.go
@@ -154,11 +154,15 @@
 	firstReportAt time.Duration
 	firstPercent  int
 	// progressedAt is when percent last changed.
-	progressedAt    time.Duration
+	progressedAt time.Duration
+	// beganAt is when the known incarnation of the executor first showed that it has the run,
+	// zero if it has not.
 	beganAt         time.Duration
 	load            int64
 	throttlePercent int
 	throttledAt     time.Duration
+	// blamed is true once the loss of the executor was charged to the task.
+	blamed bool
 	// unlisted is true while the executor's lists do not show whether the run is active or
 	// has ended.
 	unlisted bool
@@ -187,8 +191,10 @@
 	// our token; fencedAt is when it did.
 	fenced   bool
 	fencedAt time.Duration
-	// absent is true if the list of VMs shows no VM that is up with this executor.
+	// absent is true if the list of VMs, requested at absentSince, shows no VM that is up with
+	// this executor.
 	absent               bool
+	absentSince          time.Duration
 	incarnationStartedMs int64
 	// expectedStartMs is the start of a later incarnation that the executor's entry has
 	// named since expectedSince and that no answer has shown yet, zero if there is none.
@@ -211,9 +217,12 @@
 	// clockMs is the executor's clock, as read at clockReadAt.
 	clockMs     int64
 	clockReadAt time.Duration
-	// grantedDeadlineMs is the latest deadline that was sent, on the executor's
-	// clock.
-	grantedDeadlineMs int64
+	// leaseUntilMs is until when the known incarnation may continue its runs, on its clock.
+	leaseUntilMs int64
+	// renewalGrants is true if the last renewal carried a deadline. unansweredGrantAt is when
+	// such a renewal last ended without an answer.
+	renewalGrants     bool
+	unansweredGrantAt time.Duration
 	// knownSince is when this owner first knew the incarnation. It bounds the
 	// deadlines that an earlier owner granted.
 	knownSince time.Duration
--- a/core/cell/vm_order.go
+++ b/core/cell/vm_order.go
@@ -37,6 +37,7 @@
 		// The list may be older than an executor that joined or answered after the call
 		// was sent.
 		x.absent = len(vms) > 0 && x.knownSince+vmListLag < e.RequestedAt && x.lastAnswerAt+vmListLag < e.RequestedAt
+		x.absentSince = e.RequestedAt
 	}
 	for _, vm := range vms {
 		k.vms[vm.Name] = vm
--- a/core/cell/world_test.go
+++ b/core/cell/world_test.go
@@ -23,6 +23,7 @@
 	testStep            = 10 * time.Millisecond
 	testLease           = time.Second
 	testOutageWindow    = 1500 * time.Millisecond
+	testCallTimeout     = 600 * time.Millisecond
 )
 
 // world runs kernels against fake executors and a store in virtual time, and checks
@@ -393,9 +394,10 @@
 		}
 		startedMs, sent := w.executors[e.Order.Executor].StartedMs, w.now
 		w.runAfter(delay, func() {
-			// A delayed order has no effect on a later incarnation.
+			// A delayed order reaches a later incarnation while its call is open. One that an
+			// executor carries out later than that ends with the executor.
 			a := fleet.OrderAnswer{Outcome: fleet.OrderUnknown}
-			if x := w.executors[e.Order.Executor]; x != nil && x.StartedMs == startedMs && !x.unreachableFor[k] {
+			if x := w.executors[e.Order.Executor]; x != nil && (x.StartedMs == startedMs || delay <= testCallTimeout) && !x.unreachableFor[k] {
 				a = w.executeStart(e.Order, sent)
 			}
 			if answered {
