Presume only crashes of starts whose executor is gone

Cause: each next owner counted a crash under every suspected task that waited, since the earlier owner might have started it. The flag against a second count was missing before the first takeover, and was taken back for all waiting tasks of a step when one executor was free for the first of them.

Change: the record of a suspected task names its latest start (run, executor, incarnation). The next owner presumes a crash only if that run has not ended and that incarnation does not live, and counts it once. Waiting tasks are recorded as not started; as many announce a start as there are executors to take them. Event 619 shows each presumed crash; before, the logs only showed the count that ended the job.

Ruled out: silent executors that count as lost (no 626 before the counts), counts that double when they are loaded (they grow by one).

--- a/core/cell/crash.go
+++ b/core/cell/crash.go
@@ -105,6 +105,7 @@
 			t.crashes.AddBystander(victims[i])
 		}
 		if t.crashes != (suspicion.Record{}) {
+			t.crashes.Start, t.crashes.Unstarted = nil, false
 			k.suspectTask(r)
 		}
 	}
@@ -168,36 +169,6 @@
 		"crashes", t.crashes, "lost_lately", k.countLosses())
 }
 
-// presumeCrash counts a start of a suspected task by the earlier owner, since no executor
-// has the run.
-func (k *Kernel) presumeCrash(s *stepRun, index int) {
-	t := &s.tasks[index]
-	if t.crashes.Presumed {
-		return
-	}
-	t.crashes.PresumeCrash()
-	k.holdUntilStored(s, index)
-	switch {
-	case s.Service:
-		k.delayRestart(s, index)
-	case t.crashes.ShouldGiveUp() && !s.job.state.IsFinal():
-		k.log(event.TaskGivenUp, "job", s.job.ID, "step", s.index, "task", index, "crashes", t.crashes, "lost_lately", k.countLosses())
-		k.endJob(s.job, job.Failed)
-	}
-}
-
-// announceStart lets a task wait whose start the next owner would not presume, until it is
-// stored that the task starts. It reports whether the task has to wait.
-func (k *Kernel) announceStart(s *stepRun, index int) bool {
-	t := &s.tasks[index]
-	if !t.crashes.Presumed {
-		return false
-	}
-	t.crashes.Presumed = false
-	k.holdUntilStored(s, index)
-	return true
-}
-
 // holdUntilStored stores the crashes under a task and lets it wait for the write.
 func (k *Kernel) holdUntilStored(s *stepRun, index int) {
 	t := &s.tasks[index]
@@ -279,10 +250,11 @@
 
 // executorForIsolation returns the executor on which a run in isolation harms least. If there is
 // none, it closes one to new work and returns nil.
-func (k *Kernel) executorForIsolation(free []*executor, needsProof bool) *executor {
+func (k *Kernel) executorForIsolation(t *task, free []*executor) *executor {
 	var found *executor
+	needsProof := t.crashes.NeedsProof()
 	for _, x := range free {
-		if k.canIsolate(x, recentAnswer, needsProof) && (found == nil || compareForIsolation(x, found) < 0) {
+		if k.canIsolate(x, recentAnswer, needsProof) && !k.isPromised(x, t) && (found == nil || compareForIsolation(x, found) < 0) {
 			found = x
 		}
 	}
@@ -315,7 +287,7 @@
 		}
 		ready := true
 		for _, x := range assigned {
-			if k.canIsolate(x, recentGangAnswer, needsProof) {
+			if k.canIsolate(x, recentGangAnswer, needsProof) && !k.isPromised(x, &s.tasks[0]) {
 				continue
 			}
 			ready = false
@@ -365,7 +337,7 @@
 			return x, false
 		}
 	}
-	if found := k.executorForIsolation(fitting, t.crashes.NeedsProof()); found != nil {
+	if found := k.executorForIsolation(t, fitting); found != nil {
 		wasDelayed := s.Service && t.crashes.RestartDelay() > 0
 		if wasDelayed && k.now.Monotonic < max(t.waitsSince(s), t.retryAt)+isolationCloseTime {
 			found = k.preferLeastHarm(fitting, found)
--- a/core/cell/progress.go
+++ b/core/cell/progress.go
@@ -111,7 +111,7 @@
 // The largest sizes in bytes of the parts of a stored task.
 const (
 	// maxTaskBytes leaves out its checkpoint and the runs that failed.
-	maxTaskBytes      = 250
+	maxTaskBytes      = 400
 	maxFailedRunBytes = 8
 	// maxEscapedBytes is the size of a byte of a checkpoint in JSON.
 	maxEscapedBytes = 6
--- a/core/cell/recover.go
+++ b/core/cell/recover.go
@@ -120,7 +120,7 @@
 				t.uncertain = false
 				uncertain++
 				if t.crashes != (suspicion.Record{}) {
-					// The earlier owner has probably started it, and no executor has it.
+					// The earlier owner may have started it, and no executor has it.
 					k.presumeCrash(s, i)
 				}
 			}
--- a/core/cell/runs.go
+++ b/core/cell/runs.go
@@ -32,11 +32,7 @@
 	t.state, t.currentRun = taskPlaced, r
 	x.hasSuspects = x.hasSuspects || t.crashes != suspicion.Record{}
 	t.highestRun = max(t.highestRun, number)
-	if t.crashes.Presumed {
-		// A run that an earlier owner started has been found.
-		t.crashes.Presumed = false
-		k.markTaskDirty(s, index)
-	}
+	k.noteStart(r)
 	return r
 }
 
--- a/core/cell/schedule.go
+++ b/core/cell/schedule.go
@@ -39,12 +39,12 @@
 			continue
 		}
 		free := k.startableExecutors(name)
-		if len(free) == 0 {
-			continue
-		}
 		full := fullPool{anyClosed: slices.ContainsFunc(free, k.isClosed)}
 		for _, s := range candidates {
-			k.startStep(s, free, &full)
+			if len(free) > 0 {
+				k.startStep(s, free, &full)
+			}
+			k.closeUnusedStarts(s)
 		}
 	}
 }
@@ -156,9 +156,15 @@
 		if !k.withinTeamLimit(s, 1) {
 			return
 		}
+		number := max(t.highestRun, k.RunBase) + 1
 		if t.crashes.NeedsIsolation() {
-			if x, isolated := k.chooseForIsolation(s, t, free); x != nil && !k.announceStart(s, i) {
-				k.startTask(x, s, i, max(t.highestRun, k.RunBase)+1, isolated)
+			x, isolated := k.chooseForIsolation(s, t, free)
+			switch {
+			case x == nil:
+			case !k.announceStart(x, s, i, number):
+				k.startTask(x, s, i, number, isolated)
+			case isolated:
+				k.promise(x, t)
 			}
 			continue
 		}
@@ -177,8 +183,8 @@
 			}
 			continue
 		}
-		if !k.announceStart(s, i) {
-			k.startTask(x, s, i, max(t.highestRun, k.RunBase)+1, false)
+		if !k.announceStart(x, s, i, number) {
+			k.startTask(x, s, i, number, false)
 		}
 	}
 }
@@ -382,10 +388,15 @@
 // startGangOn starts the tasks of a gang on the executors that were assigned to them, if any.
 func (k *Kernel) startGangOn(s *stepRun, assigned []*executor, number int) {
 	waits := false
-	for i := range assigned {
-		waits = k.announceStart(s, i) || waits
+	for i, x := range assigned {
+		waits = k.announceStart(x, s, i, number+1) || waits
 	}
 	if waits {
+		for i, x := range assigned {
+			if s.tasks[i].crashes.NeedsIsolation() {
+				k.promise(x, &s.tasks[0])
+			}
+		}
 		return
 	}
 	checkpoint := s.tasks[0].checkpoint
--- a/core/cell/state.go
+++ b/core/cell/state.go
@@ -250,6 +250,10 @@
 	// isolatedRuns counts the runs in isolation. Until closedUntil nothing starts here,
 	// so that a run can be isolated once the others have settled.
 	isolatedRuns int
+	// promisedTo is the task for which the executor is kept until promisedUntil, nil if there
+	// was none.
+	promisedTo    *task
+	promisedUntil time.Duration
 	// hasSuspects is true if a task under suspicion may run here.
 	hasSuspects bool
 	closedUntil time.Duration
--- a/core/event/platform.go
+++ b/core/event/platform.go
@@ -21,6 +21,7 @@
 	JobUnstorable         Number = 616
 	JobRunsStopped        Number = 617
 	RestartDelayed        Number = 618
+	CrashPresumed         Number = 619
 	ExecutorSilent        Number = 621
 	ExecutorAnswers       Number = 622
 	ExecutorAvoided       Number = 623
@@ -106,6 +107,7 @@
 		JobUnstorable:         "the store does not take the records of a job; a new job is refused, an accepted one fails",
 		JobRunsStopped:        "the runs of a job that has ended are ordered to stop",
 		RestartDelayed:        "a service task under which executors crashed waits before it starts again in isolation",
+		CrashPresumed:         "a crash is counted under a suspected task that the earlier owner may have started: no executor has the run",
 		ExecutorSilent:        "an executor does not answer",
 		ExecutorAnswers:       "an executor answers again",
 		ExecutorAvoided:       "an executor that failed runs gets no work for a while",
--- a/core/suspicion/record.go
+++ b/core/suspicion/record.go
@@ -59,9 +59,21 @@
 	Beside int `json:"b,omitempty"`
 	// OldestMs is the longest time from a start to the crash of the executor.
 	OldestMs int64 `json:"o,omitempty"`
-	// Presumed is true if the latest crash was presumed and the task has not started since,
-	// so that there is no start that the next owner could presume to be lost.
-	Presumed bool `json:"u,omitempty"`
+	// Unstarted is true if the task has not started since the latest crash was counted, so
+	// that there is no start that the next owner could presume to be lost.
+	Unstarted bool `json:"u,omitempty"`
+	// Start is the latest start, nil if it is not known. Earlier builds leave it out.
+	Start *Start `json:"s,omitempty"`
+}
+
+// Start is a start of a suspected task. It shows the next owner whether its executor was lost.
+type Start struct {
+	// Run is the number of the run.
+	Run int `json:"r"`
+	// Executor is the id of the executor, empty if any may have been chosen. BornMs is the
+	// Unix time in milliseconds at which its incarnation started.
+	Executor string `json:"e,omitempty"`
+	BornMs   int64  `json:"b,omitempty"`
 }
 
 // Victim is a run on an executor that crashed.
@@ -138,7 +150,7 @@
 // PresumeCrash counts a start of a suspected task that was lost together with its owner. It
 // proves nothing: the owner may not have started it.
 func (r *Record) PresumeCrash() {
-	r.Presumed = true
+	r.CloseStart()
 	if r.NeedsIsolation() {
 		r.Crashes++
 	} else {
@@ -146,6 +158,20 @@
 	}
 }
 
+// Announce notes that the task starts.
+func (r *Record) Announce(s Start) { r.Start, r.Unstarted = &s, false }
+
+// Announced returns the latest start, the zero value if it is not known.
+func (r *Record) Announced() Start {
+	if r.Start == nil {
+		return Start{}
+	}
+	return *r.Start
+}
+
+// CloseStart notes that no start is left that the next owner could presume to be lost.
+func (r *Record) CloseStart() { r.Start, r.Unstarted = nil, true }
+
 // IsSuspect reports whether an executor crashed under the task without a likelier cause.
 func (r Record) IsSuspect() bool { return r.Crashes > 0 }
 
