Send one call for advice at a time, with the time that it takes

Cause: the service handles the calls of one node in turn. The kernel kept a call for each step under way, each with a limit of 1 s that ran while it waited for its turn, and repeated each after 0.5 s. Nearly all were given up in the middle of their turn. The figures of the queue's advice were not read, so that calls over 1 s could never be answered, and tickets with a short life counted as expired when they arrived.

Change: the kernel sends one call at a time and keeps the order of those that wait. Its time limit and the number of executors that it names follow from the queue's figures; a refused call keeps its place and is repeated with a growing delay; the life of a ticket counts from the answer.

Ruled out by the service's log: expired tickets (one call was answered at all), answers 429 (none).

--- a/core/cell/event.go
+++ b/core/cell/event.go
@@ -106,13 +106,14 @@
 		VM      string
 		Outcome fleet.VMOrderOutcome
 	}
-	// AdviceReceived is the answer to a RequestAdvice; its advice names no executor if
-	// the call failed.
+	// AdviceReceived is the answer to a RequestAdvice, or reports that there was none.
 	AdviceReceived struct {
 		Step      string
 		Executors []string
 		Sent      time.Duration
 		Advice    fleet.Advice
+		// Failed is set if the call was refused or got no answer.
+		Failed bool
 	}
 )
 
@@ -189,10 +190,12 @@
 	}
 	// ListVMs requests the list of VMs.
 	ListVMs struct{}
-	// RequestAdvice requests from the advice service which executors may run a step.
+	// RequestAdvice requests from the advice service which executors may run a step. The
+	// host reports the answer, or that there was none within Timeout, with AdviceReceived.
 	RequestAdvice struct {
 		Step      string
 		Executors []string
+		Timeout   time.Duration
 	}
 	// Depose reports that a later owner exists; the kernel must not be used again.
 	Depose struct{ Reason string }
--- a/core/cell/kernel.go
+++ b/core/cell/kernel.go
@@ -158,6 +158,8 @@
 	surplusCores map[string]float64
 	// refusals holds when jobs were refused, by job id.
 	refusals map[string]refusal
+	// advice holds the calls to the advice service.
+	advice adviceCalls
 }
 
 // refusal tells when a job was first submitted, and when its submission was last refused.
--- a/core/cell/schedule.go
+++ b/core/cell/schedule.go
@@ -47,6 +47,7 @@
 			k.closeUnusedStarts(s)
 		}
 	}
+	k.requestNextAdvice()
 }
 
 // candidateSteps returns the steps with waiting tasks in the order in which they
--- a/core/cell/state.go
+++ b/core/cell/state.go
@@ -71,6 +71,9 @@
 	tickets           map[string]string
 	ticketsExpireAt   time.Duration
 	adviceRequestedAt time.Duration
+	// adviceWantedAt is since when the step has waited for its turn to request advice, zero
+	// if it does not wait.
+	adviceWantedAt time.Duration
 	// allowed holds the executors that ever got a ticket, and namedAt when an executor was
 	// last named in a request.
 	allowed map[string]bool
--- a/core/cell/world_test.go
+++ b/core/cell/world_test.go
@@ -81,6 +81,8 @@
 	// throttled. tickets holds the tickets that the advice service issues.
 	throttlePercents map[string]int
 	tickets          map[string]string
+	// advisor is the advice service; if it is nil, calls are answered in no time.
+	advisor *fakeAdvisor
 	// maintainedVMs holds the VMs whose maintenance was carried out.
 	maintainedVMs map[string]bool
 	// maintenanceSucceeds makes maintenance orders succeed; otherwise they are
@@ -430,15 +432,13 @@
 	case cell.Throttle:
 		w.throttlePercents[e.Order.Task] = e.Order.Percent
 	case cell.RequestAdvice:
+		if w.advisor != nil {
+			w.advisor.call(w, k, e)
+			return
+		}
 		sent := w.now
 		w.runAfter(20*time.Millisecond, func() {
-			good := map[string]string{}
-			for _, id := range e.Executors {
-				if ticket, ok := w.tickets[id]; ok {
-					good[id] = ticket
-				}
-			}
-			w.answerOwner(k, cell.AdviceReceived{Step: e.Step, Executors: e.Executors, Sent: sent, Advice: fleet.Advice{Tickets: good, ValidMs: 3000}})
+			w.answerOwner(k, cell.AdviceReceived{Step: e.Step, Executors: e.Executors, Sent: sent, Advice: fleet.Advice{Tickets: w.ticketsOf(e.Executors), ValidMs: 3000}})
 		})
 	case cell.Renew:
 		w.executeRenewal(k, e.Order)
--- a/core/fleet/configuration.go
+++ b/core/fleet/configuration.go
@@ -50,8 +50,25 @@
 	Open bool `json:"-"`
 	// NeedsTicket means that each start needs a ticket of the advice service.
 	NeedsTicket bool `json:"needs_ticket,omitempty"`
+	// Advice holds how long calls to that service take for the queue.
+	Advice AdviceTimes `json:"advice,omitzero"`
 }
 
+// AdviceTimes holds how long the advice service takes to answer a call, and for how long the
+// tickets are valid that it issues. Times that are not known are zero. Its JSON form is stored
+// with jobs.
+type AdviceTimes struct {
+	// Base is the time that each call takes, and PerExecutor what it takes in addition for
+	// each executor that it names.
+	Base        time.Duration `json:"base_ns,omitempty"`
+	PerExecutor time.Duration `json:"per_executor_ns,omitempty"`
+	// TicketLife is how long a ticket is valid.
+	TicketLife time.Duration `json:"ticket_life_ns,omitempty"`
+}
+
+// Of returns how long the service takes for a call that names n executors.
+func (a AdviceTimes) Of(n int) time.Duration { return a.Base + time.Duration(n)*a.PerExecutor }
+
 // Pool is a set of VMs that serve the same queues.
 type Pool struct {
 	Name string
--- a/edge/host.go
+++ b/edge/host.go
@@ -35,7 +35,6 @@
 	// listVMsTimeout limits a read of the list of VMs, whose pages are limited by their
 	// progress.
 	listVMsTimeout = 15 * time.Second
-	adviceTimeout  = time.Second
 )
 
 // host runs the kernel of the pools that this node owns.
@@ -347,13 +346,13 @@
 			h.callAsync(listVMsTimeout, h.listVMs)
 		}
 	case cell.RequestAdvice:
-		h.callAsync(adviceTimeout, func(ctx context.Context) cell.Event {
+		h.callAsync(e.Timeout, func(ctx context.Context) cell.Event {
 			sent := monotonicNow()
 			advice, err := h.advisor.Advise(ctx, e.Step, e.Executors)
 			if err != nil {
 				h.log.Event(event.AdviceFailed, zap.String("step", e.Step), zap.Error(err))
 			}
-			return cell.AdviceReceived{Step: e.Step, Executors: e.Executors, Sent: sent, Advice: advice}
+			return cell.AdviceReceived{Step: e.Step, Executors: e.Executors, Sent: sent, Advice: advice, Failed: err != nil}
 		})
 	}
 }
