Count a job as started once an executor shows its run

Cause: the kernel took a job for started when it sent the first order. A refusal, or an order that was never carried out, did not take that back. A next owner also took a job for started to which only a crash was charged.

Change: a job has started once an executor has answered that it has the run, or has listed the run or its end. Until then callers see pending, and the queue counts the job.

Ruled out: an outdated copy on other nodes (the depth was 0 for over 5 s, the owner's too), jobs that are not counted at all (the depth was right before the first order).

--- a/core/cell/random_test.go
+++ b/core/cell/random_test.go
@@ -76,6 +76,7 @@
 		}
 		for range rapid.IntRange(10, 60).Draw(t, "length") {
 			r.doRandomAction()
+			r.requireQueueDepth()
 		}
 		r.recoverAndCheck()
 	})
@@ -171,7 +172,8 @@
 
 // deliverAgain ends the loss of answers.
 func (r *randomWorld) deliverAgain() {
-	r.orderDelivery, r.answerDelay, r.losesAnswers = deliverPromptly, noDelay, false
+	r.world.deliverPromptly()
+	r.losesAnswers = false
 }
 
 func deliverPromptly(string, string) (time.Duration, bool) { return time.Millisecond, true }
--- a/core/cell/recover.go
+++ b/core/cell/recover.go
@@ -42,7 +42,8 @@
 			j.markPartDirty(n)
 		}
 	}
-	if p.State == job.Running || len(p.Tasks) > 0 {
+	// A crash may be charged to a start that was never carried out.
+	if p.State == job.Running || slices.ContainsFunc(p.Tasks, job.TaskProgress.HasRun) {
 		k.markStarted(j)
 	}
 	for _, s := range j.steps {
--- a/core/cell/renewal.go
+++ b/core/cell/renewal.go
@@ -212,6 +212,7 @@
 		}
 		if r.beganAt == 0 {
 			r.beganAt, r.blamed = k.now.Monotonic, false
+			k.markStarted(r.step.job)
 		}
 		r.unlisted = false
 		if r.firstReportAt == 0 {
--- a/core/cell/runs.go
+++ b/core/cell/runs.go
@@ -51,7 +51,6 @@
 	}})
 	k.log(event.RunStarted, "task", r.name, "run", number, "executor", x.ID, "waited_ms", (k.now.Monotonic - s.readyAt).Milliseconds(),
 		"isolated", r.isolated)
-	k.markStarted(s.job)
 }
 
 // handleStartAnswer handles an executor's answer to a start order.
@@ -75,6 +74,7 @@
 		if r.state == runStarting || r.state == runUnknown {
 			r.state, r.beganAt, r.progressedAt = runActive, k.now.Monotonic, k.now.Monotonic
 		}
+		k.markStarted(r.step.job)
 	case fleet.OrderUnknown:
 		if r.state == runStarting {
 			r.state = runUnknown
@@ -150,6 +150,7 @@
 		return
 	}
 	k.releaseRun(r)
+	k.markStarted(r.step.job)
 	t := r.task()
 	if t.currentRun != r {
 		return
--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -411,7 +411,8 @@
 	k.markDirty(j)
 }
 
-// markStarted records that a job has started and removes it from its queue's depth.
+// markStarted records that a task of a job has begun, or that the job has ended, and removes the
+// job from its queue's depth. An order to start shows nothing: the executor may refuse it.
 func (k *Kernel) markStarted(j *jobState) {
 	if j.started {
 		return
--- a/core/cell/wait_watch_test.go
+++ b/core/cell/wait_watch_test.go
@@ -42,7 +42,6 @@
 	owedSince map[string]time.Duration
 	// lastingDisturbance reports whether a disturbance lasts that the world does not know.
 	lastingDisturbance func() bool
-	cancelled          map[string]bool
 }
 
 // taskOnExecutor names a task and an executor.
@@ -55,7 +54,6 @@
 		roomSince:          map[taskOnExecutor]time.Duration{},
 		owedSince:          map[string]time.Duration{},
 		lastingDisturbance: func() bool { return false },
-		cancelled:          map[string]bool{},
 	}
 }
 
@@ -92,7 +90,7 @@
 		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(w.specs)) {
-		if !v.cancelled[id] && !w.jobState(id).IsFinal() {
+		if !w.cancelRequested[id] && !w.jobState(id).IsFinal() {
 			v.checkJob(w, id, w.specs[id])
 		}
 	}
--- a/core/cell/world_jobs_test.go
+++ b/core/cell/world_jobs_test.go
@@ -122,10 +122,8 @@
 }
 
 func (w *world) cancelJob(id string) cell.CallID {
+	w.cancelRequested[id] = true
 	w.lastCall++
-	if w.watch != nil {
-		w.watch.cancelled[id] = true
-	}
 	w.lookUpEnded(id)
 	w.step(cell.CancelRequested{Call: w.lastCall, Job: id})
 	return w.lastCall
--- a/core/cell/world_test.go
+++ b/core/cell/world_test.go
@@ -42,11 +42,12 @@
 	// specs holds the jobs as they were first stored, and records as they are now.
 	specs, records map[string]*job.Job
 	stored         map[string]job.Progress
-	accepted       map[string]bool
-	verdicts       map[cell.CallID]cell.Answer
-	lastCall       cell.CallID
-	config         *fleet.Configuration
-	vms            []fleet.VM
+	// cancelRequested holds the jobs that callers have asked to cancel.
+	cancelRequested map[string]bool
+	verdicts        map[cell.CallID]cell.Answer
+	lastCall        cell.CallID
+	config          *fleet.Configuration
+	vms             []fleet.VM
 	// unproved is true while the owner's lease is not renewed.
 	unproved bool
 	// outageConfirmed is true while all nodes confirm that they do not reach the
@@ -146,7 +147,7 @@
 func newWorld(t require.TestingT, executors int) *world {
 	w := &world{
 		t: t, now: time.Hour, alive: map[*cell.Kernel]bool{}, executors: map[string]*fakeExecutor{}, specs: map[string]*job.Job{}, records: map[string]*job.Job{},
-		stored: map[string]job.Progress{}, parts: map[string]map[int]job.ProgressPart{}, accepted: map[string]bool{}, verdicts: map[cell.CallID]cell.Answer{},
+		stored: map[string]job.Progress{}, parts: map[string]map[int]job.ProgressPart{}, cancelRequested: map[string]bool{}, verdicts: map[cell.CallID]cell.Answer{},
 		acknowledged: map[string]bool{}, starts: map[string]int{},
 		throttlePercents: map[string]int{}, maintainedVMs: map[string]bool{}, moveOrdered: map[string]bool{}, maintenanceOrdered: map[string]bool{}, lastOrder: map[string]vmOrdered{},
 		lostUnder: map[string]int{}, failedEnds: map[string]int{},
--- a/core/job/progress.go
+++ b/core/job/progress.go
@@ -44,6 +44,9 @@
 	Crashes *suspicion.Record `json:"x,omitempty"`
 }
 
+// HasRun reports whether a run of the task has ended.
+func (t TaskProgress) HasRun() bool { return t.Done || t.Run > 0 || len(t.Failed) > 0 }
+
 // ProgressPart is the stored progress of some consecutive tasks of a job. Tasks are numbered
 // in the order of their occurrences, steps and indexes.
 type ProgressPart struct {
