Hold tasks of pools with silent executors for the longest lease

Change: the recovery ends as before, but the tasks of a pool that nobody has wait until every executor of the pool has answered or ended, or holdMaxMs after the claim has passed. Tasks only start in the pool of their job, so other pools, lending and waves do not wait.

TestSilentExecutorHoldsItsPoolOnly holds that other pools do not wait longer than before.

--- a/core/cell/incarnation_test.go
+++ b/core/cell/incarnation_test.go
@@ -138,3 +138,35 @@
 	w.advance(10 * time.Second)
 	require.Equal(t, 2, w.starts[j.ID+".0.0.0"])
 }
+
+// TestSilentExecutorHoldsItsPoolOnly checks that a next owner holds the tasks of a pool with a
+// silent executor for as long as that may keep its runs, and those of other pools no longer than
+// before.
+func TestSilentExecutorHoldsItsPoolOnly(t *testing.T) {
+	w := newWorld(t, 2)
+	w.changeConfiguration(func(c *fleet.Configuration) {
+		c.Queues = append(c.Queues, fleet.Queue{Name: "prints", Host: "h", Prefix: "/q/", Pool: "print", MaxAttempts: 2, ObjectiveFactor: 2, ObjectiveBase: 2 * time.Second})
+		c.Pools = append(c.Pools, fleet.Pool{Name: "print"})
+	})
+	w.addExecutor("p0")
+	w.executors["p0"].Pool = "print"
+	w.vms[2].Pool = "print"
+	w.listExecutors()
+	w.taskTime = func(string, int) (time.Duration, fleet.RunEnd) { return 20 * time.Second, fleet.EndDone }
+	w.advance(20 * time.Second)
+	render, printing := simpleJob(1, 1, 1000), simpleJob(2, 1, 1000)
+	printing.Queue = "prints"
+	w.submitJob(render)
+	w.submitJob(printing)
+	w.advance(100 * time.Millisecond)
+	x, p := w.executorOf(render.ID+".0.0.0"), w.executorOf(printing.ID+".0.0.0")
+	require.Equal(t, "p0", p.ID)
+	x.unreachable = true
+	clear(p.runs)
+	w.replaceOwner()
+	w.advance(4300 * time.Millisecond)
+	require.Equal(t, 2, w.starts[printing.ID+".0.0.0"])
+	require.Equal(t, 1, w.starts[render.ID+".0.0.0"])
+	w.advance(2 * time.Second)
+	require.Equal(t, 2, w.starts[render.ID+".0.0.0"])
+}
--- a/core/cell/kernel.go
+++ b/core/cell/kernel.go
@@ -118,6 +118,9 @@
 	// recovering is true while tasks are held back because an earlier owner may have
 	// started them.
 	recovering bool
+	// unresolvedPools holds the pools whose tasks are held back after that, since executors
+	// that are silent may have them.
+	unresolvedPools []string
 	// unprovedTasks holds the tasks whose runs were lost while the ownership was not
 	// proved.
 	unprovedTasks []*task
--- a/core/cell/recover.go
+++ b/core/cell/recover.go
@@ -93,33 +93,81 @@
 	}
 }
 
-// finishRecovery ends the recovery once no order of an earlier owner can be in
-// effect unnoticed: either every executor has answered under our token, or all
-// inherited deadlines have passed; and every executor that answers has listed all its ends.
+// finishRecovery ends the recovery once no order of an earlier owner can be in effect unnoticed
+// but by executors that started again while the earlier owner failed: either every executor has
+// answered under our token, or all inherited deadlines have passed; and every executor that
+// answers has listed all its ends. The tasks of pools with silent executors wait on.
 func (k *Kernel) finishRecovery() {
-	if !k.recovering || !k.ownershipProved() {
+	if (!k.recovering && len(k.unresolvedPools) == 0) || !k.ownershipProved() {
 		// Without a proof a later owner may have taken over the runs that this owner
 		// waits for.
 		return
 	}
-	if k.now.Monotonic < k.claimedAt+withClockDrift(k.deadlineSpan())+expirySlack && !k.allFenced() {
+	if k.recovering && k.now.Monotonic < k.claimedAt+withClockDrift(k.deadlineSpan())+expirySlack && !k.allFenced() {
 		return
 	}
 	if slices.ContainsFunc(k.sortedExecutors(), func(x *executor) bool { return x.moreEnded }) {
 		// Runs whose ends are not listed yet have not lapsed with the inherited deadlines.
 		return
 	}
-	k.recovering, k.recoveredAt = false, k.now.Monotonic
-	uncertain := 0
+	before := len(k.unresolvedPools)
+	if k.recovering {
+		k.recovering, k.recoveredAt = false, k.now.Monotonic
+		k.unresolvedPools, before = k.uncertainPools(), -1
+	}
+	waiting := k.resolvePools()
+	if len(k.unresolvedPools) != before {
+		k.log(event.RecoveryEnded, "took_ms", (k.now.Monotonic - k.claimedAt).Milliseconds(), "waiting_tasks", waiting,
+			"executors", len(k.executors), "unresolved_pools", k.unresolvedPools)
+	}
+}
+
+// uncertainPools returns the pools with tasks that an earlier owner may have started.
+func (k *Kernel) uncertainPools() []string {
+	pools := map[string]bool{}
+	for _, j := range k.jobs {
+		for _, s := range j.steps {
+			if slices.ContainsFunc(s.tasks, func(t task) bool { return t.uncertain }) {
+				pools[j.Pool] = true
+			}
+		}
+	}
+	return slices.Sorted(maps.Keys(pools))
+}
+
+// resolvePools lets the tasks start that no executor of their pool can have, and returns how many
+// these are. An executor that is silent may have started again under the earlier owner, and keep
+// its runs for the longest lease.
+func (k *Kernel) resolvePools() int {
+	expired := k.now.Monotonic >= k.claimedAt+k.longestLease()
+	waiting := 0
+	k.unresolvedPools = slices.DeleteFunc(k.unresolvedPools, func(pool string) bool {
+		isResolved := expired || k.isFenced(pool)
+		if isResolved {
+			waiting += k.resolveTasks(pool)
+		}
+		return isResolved
+	})
+	return waiting
+}
+
+// resolveTasks lets the tasks of a pool start that an earlier owner may have started, and returns
+// how many these are.
+func (k *Kernel) resolveTasks(pool string) int {
+	waiting := 0
 	for _, id := range slices.Sorted(maps.Keys(k.jobs)) {
-		for _, s := range k.jobs[id].steps {
+		j := k.jobs[id]
+		if j.Pool != pool {
+			continue
+		}
+		for _, s := range j.steps {
 			for i := range s.tasks {
 				t := &s.tasks[i]
 				if !t.uncertain {
 					continue
 				}
 				t.uncertain = false
-				uncertain++
+				waiting++
 				if t.crashes != (suspicion.Record{}) {
 					// The earlier owner may have started it, and no executor has it.
 					k.presumeCrash(s, i)
@@ -127,22 +175,32 @@
 			}
 		}
 	}
-	k.log(event.RecoveryEnded, "took_ms", (k.now.Monotonic - k.claimedAt).Milliseconds(), "waiting_tasks", uncertain, "executors", len(k.executors))
+	return waiting
 }
 
 // allFenced reports whether every executor that may be alive has answered. The list
 // of VMs shows which of the registered executors have ended.
 func (k *Kernel) allFenced() bool {
+	return k.areFenced(func(string) bool { return true })
+}
+
+// isFenced reports the same of the executors of a pool.
+func (k *Kernel) isFenced(pool string) bool {
+	return k.areFenced(func(p string) bool { return p == pool })
+}
+
+// areFenced reports whether every executor of some pools that may be alive has answered.
+func (k *Kernel) areFenced(includes func(pool string) bool) bool {
 	if !k.executorsListed || k.vmsListedAt == 0 {
 		return false
 	}
 	for _, x := range k.executors {
-		if !x.fenced && !x.absent {
+		if includes(x.Pool) && !x.fenced && !x.absent {
 			return false
 		}
 	}
 	for _, vm := range k.vms {
-		if vm.Executor != "" && vm.State == fleet.VMUp && k.executors[vm.Executor] == nil && !k.config.IsSparePool(vm.Pool) {
+		if includes(vm.Pool) && vm.Executor != "" && vm.State == fleet.VMUp && k.executors[vm.Executor] == nil && !k.config.IsSparePool(vm.Pool) {
 			return false
 		}
 	}
