Count a failed run of a gang once

Cause: the failures of all members were added, also those of one run; two members on two executors that failed all used up two attempts at a time.

Change: a gang has failed as often as there are runs in which any member failed.

Ruled out: a count per task (the record shows four ends failed in two runs, and no task that failed more than twice).

--- a/core/cell/runs.go
+++ b/core/cell/runs.go
@@ -212,17 +212,20 @@
 	k.markTaskDirty(s, index)
 }
 
-// failureCount returns how often a task has failed. For a gang it counts the
-// failures of all members, since the failure of one ends the runs of all.
+// failureCount returns how often a task has failed. For a gang it counts the runs of all
+// members that failed, however many of them have failed in one run: the failure of one ends
+// the run of all.
 func (s *stepRun) failureCount(index int) int {
 	if !s.Gang {
 		return len(s.tasks[index].failedRuns)
 	}
-	n := 0
+	runs := map[int]bool{}
 	for i := range s.tasks {
-		n += len(s.tasks[i].failedRuns)
+		for _, run := range s.tasks[i].failedRuns {
+			runs[run] = true
+		}
 	}
-	return n
+	return len(runs)
 }
 
 // failJob ends a job because a task has used up its attempts.
