Give urgent steps a head start for advice, not every turn

Callers would have seen jobs on queues with advice wait for ever behind a more urgent step that no executor may run.

Cause: the most urgent step came first, and wanted its next call as soon as the last one was answered without a ticket.

Change: the step that has waited for longest comes first; each priority that it precedes counts as two seconds of waiting, ten at most.

Evidence: TestUrgentStepLeavesAdviceToOthers fails on the commit before and passes now.

--- a/core/cell/advice.go
+++ b/core/cell/advice.go
@@ -25,6 +25,10 @@
 	// unknownAdviceTimeout the limit of calls of which that is not known.
 	adviceSlack          = time.Second
 	unknownAdviceTimeout = 5 * time.Second
+	// adviceHeadStart is by how much earlier the advice for a step counts as wanted for each
+	// priority that it precedes, up to maxAdviceHeadStart, so that no step waits for ever.
+	adviceHeadStart    = 2 * time.Second
+	maxAdviceHeadStart = 10 * time.Second
 	// maxTicketMargin limits how long before its expiry a ticket is no longer used, so that
 	// it does not expire before the start arrives.
 	maxTicketMargin = 200 * time.Millisecond
@@ -65,8 +69,8 @@
 	return valid
 }
 
-// requestNextAdvice requests the advice that has been wanted for longest among the most urgent
-// steps, unless another call is under way.
+// requestNextAdvice requests the advice that has been wanted for longest, unless another call is
+// under way. Urgent steps have a head start.
 func (k *Kernel) requestNextAdvice() {
 	a := &k.advice
 	wanted := a.wanted
@@ -74,12 +78,15 @@
 	if len(wanted) == 0 || a.pending != "" || k.now.Monotonic < a.retryAt {
 		return
 	}
-	next := slices.MinFunc(wanted, func(v, w adviceWant) int {
-		return cmp.Or(cmp.Compare(v.step.priorityRank(), w.step.priorityRank()), cmp.Compare(v.step.adviceWantedAt, w.step.adviceWantedAt))
-	})
+	next := slices.MinFunc(wanted, func(v, w adviceWant) int { return cmp.Compare(v.step.adviceTurn(), w.step.adviceTurn()) })
 	k.requestAdvice(next.step, next.free)
 }
 
+// adviceTurn orders the steps that want advice; lower values come first.
+func (s *stepRun) adviceTurn() time.Duration {
+	return s.adviceWantedAt + min(time.Duration(min(s.priorityRank(), 100))*adviceHeadStart, maxAdviceHeadStart)
+}
+
 // lacksTicket reports whether a task of a step fits on executors without a ticket only.
 func (k *Kernel) lacksTicket(s *stepRun, free []*executor) bool {
 	need := s.ReservedSize()
--- a/core/cell/advice_test.go
+++ b/core/cell/advice_test.go
@@ -22,6 +22,8 @@
 	busy     bool
 	// expiresAt holds when the tickets of a step expire.
 	expiresAt map[string]time.Duration
+	// allowed reports whether any executor may run a step; nil allows all steps.
+	allowed func(step string) bool
 	// handled counts the calls that were answered, refused those that were turned away, and
 	// abandoned those whose caller had gone.
 	handled, refused, abandoned int
@@ -90,9 +92,13 @@
 			c.gone = true
 			a.handled++
 			a.expiresAt[c.request.Step] = w.now + a.times.TicketLife
+			tickets := w.ticketsOf(c.request.Executors)
+			if a.allowed != nil && !a.allowed(c.request.Step) {
+				tickets = nil
+			}
 			w.answerOwner(c.kernel, cell.AdviceReceived{
 				Step: c.request.Step, Executors: c.request.Executors, Sent: c.sent,
-				Advice: fleet.Advice{Tickets: w.ticketsOf(c.request.Executors), ValidMs: a.times.TicketLife.Milliseconds()},
+				Advice: fleet.Advice{Tickets: tickets, ValidMs: a.times.TicketLife.Milliseconds()},
 			})
 		}
 		a.next(w)
@@ -174,3 +180,20 @@
 		require.Equal(t, job.Succeeded, w.jobState(simpleJob(n+1, 1, 6000).ID))
 	}
 }
+
+// TestUrgentStepLeavesAdviceToOthers guards against an urgent step that no executor may run and
+// whose calls take every turn.
+func TestUrgentStepLeavesAdviceToOthers(t *testing.T) {
+	w := newAdvisedWorld(t, 2, fleet.AdviceTimes{Base: 600 * time.Millisecond, TicketLife: 3 * time.Second})
+	good := w.tickets
+	w.tickets = map[string]string{}
+	service := simpleJob(1, 1, 1000)
+	service.Steps[0].Service = true
+	w.submitJob(service)
+	w.advance(2 * time.Second)
+	w.advisor.allowed = func(step string) bool { return step[:16] != service.ID }
+	w.tickets = good
+	w.submitJob(simpleJob(2, 1, 1000))
+	w.advance(6 * time.Second)
+	require.Equal(t, job.Succeeded, w.jobState(simpleJob(2, 1, 1000).ID))
+}
--- a/core/cell/executors.go
+++ b/core/cell/executors.go
@@ -123,9 +123,8 @@
 	x.renewing, x.renewalEndedAt = false, 0
 }
 
-// resetIncarnation discards the runs and the state of an executor's previous
-// incarnation; startedMs is zero if the start of the new one is not known
-// yet.
+// resetIncarnation discards the state of an executor's previous incarnation, and the runs that
+// it has shown; startedMs is zero if the start of the new one is not known yet.
 func (k *Kernel) resetIncarnation(x *executor, startedMs int64) {
 	k.log(event.ExecutorReborn, "executor", x.ID, "born", startedMs, "runs", len(x.runs))
 	k.logExecutorLoss(x, "it has a new incarnation")
