--- a/core/cell/incarnation_test.go
+++ b/core/cell/incarnation_test.go
@@ -22,15 +22,22 @@
 	w.setVM(x.ID, fleet.VMUp)
 }
 
-// newWorldOfUnseenRestart returns a world in which an idle executor has crashed and started
-// again under its id between two renewals, and has then taken the start of a long task.
-// Another executor joins after that. The entry does not show the new incarnation yet.
-func newWorldOfUnseenRestart(t *testing.T) (w *world, x *fakeExecutor, task string) {
+// newWorldOfRestart returns a world in which an idle executor, the only one, has crashed and
+// started again under its id between two renewals. Runs take as long as given.
+func newWorldOfRestart(t *testing.T, takes time.Duration) (w *world, x *fakeExecutor) {
 	w = newWorld(t, 1)
-	w.taskTime = func(string, int) (time.Duration, fleet.RunEnd) { return 20 * time.Second, fleet.EndDone }
+	w.taskTime = func(string, int) (time.Duration, fleet.RunEnd) { return takes, fleet.EndDone }
 	w.advance(20 * time.Second)
 	x = w.executors["e0"]
 	w.restartUnseen(x)
+	return w, x
+}
+
+// newWorldOfUnseenRestart returns a world in which an idle executor has crashed and started
+// again under its id between two renewals, and has then taken the start of a long task.
+// Another executor joins after that. The entry does not show the new incarnation yet.
+func newWorldOfUnseenRestart(t *testing.T) (w *world, x *fakeExecutor, task string) {
+	w, x = newWorldOfRestart(t, 20*time.Second)
 	j := simpleJob(1, 1, 1000)
 	w.submitJob(j)
 	w.advance(100 * time.Millisecond)
@@ -55,11 +62,7 @@
 // TestUnansweredStartInNewIncarnationIsNotDoubled guards against the same if the executor is cut
 // off before any answer shows the new incarnation.
 func TestUnansweredStartInNewIncarnationIsNotDoubled(t *testing.T) {
-	w := newWorld(t, 1)
-	w.taskTime = func(string, int) (time.Duration, fleet.RunEnd) { return 20 * time.Second, fleet.EndDone }
-	w.advance(20 * time.Second)
-	x := w.executors["e0"]
-	w.restartUnseen(x)
+	w, x := newWorldOfRestart(t, 20*time.Second)
 	w.orderDelivery = func(string, string) (time.Duration, bool) { return time.Millisecond, false }
 	j := simpleJob(1, 1, 1000)
 	w.submitJob(j)
@@ -77,11 +80,7 @@
 // TestUnansweredStartIsFoundInNewIncarnation guards against starting a task again whose
 // unanswered start was carried out by the executor's new incarnation.
 func TestUnansweredStartIsFoundInNewIncarnation(t *testing.T) {
-	w := newWorld(t, 1)
-	w.taskTime = func(string, int) (time.Duration, fleet.RunEnd) { return 3 * time.Second, fleet.EndDone }
-	w.advance(20 * time.Second)
-	x := w.executors["e0"]
-	w.restartUnseen(x)
+	w, x := newWorldOfRestart(t, 3*time.Second)
 	w.orderDelivery = func(string, string) (time.Duration, bool) { return time.Millisecond, false }
 	j := simpleJob(1, 1, 1000)
 	w.submitJob(j)
