Learn run times, and judge executors by several jobs

Change: core/estimate learns by queue and image how run times follow estimates, with spread, tail and failures; admission, order, objective, need and straggler search use one outlook a job. The owner stores it with other writes; the next one reads it in the background. An executor is slow only by the runs of several jobs, those that ended included. Also: the record of recent orders for VMs tells how old each is. Owners that followed each other within the lease of an order each waited for all of them again, so that a rolling restart kept VMs from the pools for seconds.

--- a/core/cell/backlog.go
+++ b/core/cell/backlog.go
@@ -6,7 +6,7 @@
 // times at which jobs are due.
 const backlogInterval = 50 * time.Millisecond
 
-// backlog holds the estimated work that is left of a pool's open jobs, by label,
+// backlog holds the expected work that is left of a pool's open jobs, by label,
 // priority and due time, so that the work before a new job is known without a walk
 // over all jobs. Work is in thousandths of a core times milliseconds. The zero value
 // is ready for use.
@@ -65,7 +65,7 @@
 	b.add(backlogGroup{"", j.priority()}, j.due, sign*j.remainingWork)
 	for _, s := range j.steps {
 		if s.Label != "" && !s.Service && !s.BestEffort {
-			b.add(backlogGroup{s.Label, j.priority()}, j.due, sign*int64(s.Count-s.doneTasks)*s.TaskWork())
+			b.add(backlogGroup{s.Label, j.priority()}, j.due, sign*int64(s.Count-s.doneTasks)*s.expectedTaskWork())
 		}
 	}
 }
@@ -92,12 +92,12 @@
 		return
 	}
 	j := s.job
-	work := min(s.TaskWork(), j.remainingWork)
+	work := min(s.expectedTaskWork(), j.remainingWork)
 	j.remainingWork -= work
 	if p := k.ensurePool(j.Pool); p.openJobs[j.ID] != nil {
 		p.backlog.add(backlogGroup{"", j.priority()}, j.due, -work)
 		if s.Label != "" {
-			p.backlog.add(backlogGroup{s.Label, j.priority()}, j.due, -s.TaskWork())
+			p.backlog.add(backlogGroup{s.Label, j.priority()}, j.due, -s.expectedTaskWork())
 		}
 	}
 }
--- a/core/cell/dump.go
+++ b/core/cell/dump.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"jacinthwind/core/estimate"
 	"jacinthwind/core/fleet"
 	"jacinthwind/core/job"
 	"jacinthwind/core/lending"
@@ -26,7 +27,9 @@
 	Jobs      []JobDump               `json:"jobs"`
 	Usage     map[string]fleet.Vector `json:"usage"`
 	Waves     []WaveDump              `json:"waves"`
-	VMs       []VMDump                `json:"vms"`
+	// Estimates is what was learnt of the run times of each queue.
+	Estimates []estimate.Summary `json:"estimates"`
+	VMs       []VMDump           `json:"vms"`
 	// VMsAgeMs is the age of the list of VMs in milliseconds.
 	VMsAgeMs  int64    `json:"vms_age_ms"`
 	Evacuated []string `json:"evacuated"`
@@ -100,7 +103,7 @@
 		Token: k.Token, LeaseProvedMs: (k.leaseUntil - now.Monotonic).Milliseconds(), Recovering: k.recovering,
 		Configuration: k.config.Version, Unstored: len(k.outbox.dirty) + len(k.outbox.inFlightBatch.jobs), JobBytes: k.heldBytes,
 		Usage: maps.Clone(k.teamUsage), VMsAgeMs: (now.Monotonic - k.vmsListedAt).Milliseconds(),
-		Evacuated: slices.Sorted(maps.Keys(k.evacuated)),
+		Evacuated: slices.Sorted(maps.Keys(k.evacuated)), Estimates: k.estimates.Summaries(),
 	}
 	for _, name := range slices.Sorted(maps.Keys(k.pools)) {
 		p := k.pools[name]
--- a/core/cell/event.go
+++ b/core/cell/event.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"jacinthwind/core/estimate"
 	"jacinthwind/core/event"
 	"jacinthwind/core/fleet"
 	"jacinthwind/core/job"
@@ -95,6 +96,8 @@
 	// answers for them and their records are removed in time. Jobs that the kernel knows
 	// stay as they are.
 	EndedJobsLoaded struct{ Jobs []EndedJob }
+	// EstimatesLoaded passes what earlier owners have learnt of run times.
+	EstimatesLoaded struct{ Estimates estimate.Stored }
 	// Written reports that a Write is stored, but for the records of the rejected jobs.
 	Written struct {
 		Write int64
@@ -132,6 +135,7 @@
 func (Stopped) event()              {}
 func (Renewed) event()              {}
 func (EndedJobsLoaded) event()      {}
+func (EstimatesLoaded) event()      {}
 func (Written) event()              {}
 func (VMOrdered) event()            {}
 func (AdviceReceived) event()       {}
@@ -233,6 +237,8 @@
 	WaveStatusRecord RecordKind = "wave_status"
 	// VMOrdersRecord is the record of the VMs for which orders were recently sent.
 	VMOrdersRecord RecordKind = "vm_orders"
+	// EstimatesRecord is the record of what was learnt of run times.
+	EstimatesRecord RecordKind = "estimates"
 )
 
 // Record is a value to be stored under a kind and a name.
--- a/core/cell/executors.go
+++ b/core/cell/executors.go
@@ -143,6 +143,7 @@
 	x.clockMs, x.leaseUntilMs = 0, 0
 	x.failureStreak, x.knownSince, x.incarnationSeenAt = 0, k.now.Monotonic, k.now.Monotonic
 	x.closedUntil, x.aliveAt, x.lossNoted = 0, 0, false
+	x.isSlow, x.endedSpeeds = false, nil
 	x.expectedStartMs, x.refutedStartMs, x.unsizedRuns = 0, 0, 0
 }
 
--- a/core/cell/kernel.go
+++ b/core/cell/kernel.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"jacinthwind/core/estimate"
 	"jacinthwind/core/event"
 	"jacinthwind/core/fleet"
 	"jacinthwind/core/lending"
@@ -134,11 +135,13 @@
 	vmsRequestedAt  time.Duration
 	vmOrders        map[string]vmOrder
 	// orderRecordedAt holds when an order for a VM was last recorded or sent. inheritedOrders
-	// holds the VMs for which an earlier owner recently recorded an order.
+	// holds until when no order may be sent for a VM for which an earlier owner has sent one.
 	orderRecordedAt map[string]time.Duration
-	inheritedOrders map[string]bool
+	inheritedOrders map[string]time.Duration
 	// inheritsUnknownOrders is true if it could not be read which VMs these are.
 	inheritsUnknownOrders bool
+	// ordersListedAt is when the record of the recent orders was last made.
+	ordersListedAt time.Duration
 	// orderRefusedAt holds when an order for a VM was last refused.
 	orderRefusedAt   map[string]time.Duration
 	outbox           outbox
@@ -155,6 +158,9 @@
 	vmOrderBudgetAt time.Duration
 	// lossesAt holds when executors were lost during the last lossWindow.
 	lossesAt []time.Duration
+	// estimates holds what was learnt of run times; it was last recorded at estimatesStoredAt.
+	estimates                            estimate.Book
+	estimatesStoredAt, estimatesLoggedAt time.Duration
 	// lendableVMs holds the VMs that are off and can be lent.
 	lendableVMs []lending.VM
 	// surplusCores holds by how many cores each pool exceeds its need, as last planned.
@@ -181,7 +187,7 @@
 		pools: map[string]*pool{}, teamUsage: map[string]fleet.Vector{},
 		evacuated: map[string]bool{}, queueDepth: map[string]int{}, teamLimits: map[string]knownLimit{},
 		waves: map[int]*wave{}, vms: map[string]fleet.VM{},
-		vmOrders: map[string]vmOrder{}, orderRecordedAt: map[string]time.Duration{}, inheritedOrders: map[string]bool{}, orderRefusedAt: map[string]time.Duration{},
+		vmOrders: map[string]vmOrder{}, orderRecordedAt: map[string]time.Duration{}, inheritedOrders: map[string]time.Duration{}, orderRefusedAt: map[string]time.Duration{},
 		config: &fleet.Configuration{}, capacities: map[capacityKey]capacity{}, refusals: map[string]refusal{}, surplusCores: map[string]float64{},
 		outbox: outbox{dirty: map[string]*jobState{}, records: map[string]Record{}},
 	}
@@ -227,6 +233,8 @@
 		k.handleStopAnswer(e)
 	case Renewed:
 		k.handleRenewal(e)
+	case EstimatesLoaded:
+		k.loadEstimates(e.Estimates)
 	case EndedJobsLoaded:
 		k.addEndedJobs(e.Jobs)
 	case Written:
@@ -250,6 +258,7 @@
 	k.finishRecovery()
 	k.scheduleTasks()
 	k.logWaits()
+	k.logEstimates()
 	k.lendVMs()
 	k.advanceWaves()
 	k.retryVMOrders()
--- a/core/cell/outbox.go
+++ b/core/cell/outbox.go
@@ -55,6 +55,8 @@
 		}
 		o.records["orders"] = k.listRecentOrders()
 	}
+	k.storeEstimates()
+	k.refreshRecentOrders()
 	w := Write{Remove: o.removedJobs}
 	for _, id := range slices.Sorted(maps.Keys(o.dirty)) {
 		j := o.dirty[id]
--- a/core/cell/runs.go
+++ b/core/cell/runs.go
@@ -43,7 +43,7 @@
 		r.isolated = true
 		x.isolatedRuns++
 	}
-	r.state, r.sentAt = runStarting, k.now.Monotonic
+	r.state, r.sentAt, r.resumed = runStarting, k.now.Monotonic, s.tasks[index].checkpoint != ""
 	k.emit(Start{fleet.StartOrder{
 		Address: x.Address, Executor: x.ID, Task: r.name, Run: number, Spec: s.job.Spec,
 		DeadlineMs: k.grantDeadline(x), Token: k.Token, Checkpoint: s.tasks[index].checkpoint,
@@ -151,6 +151,14 @@
 	}
 	k.releaseRun(r)
 	k.markStarted(r.step.job)
+	switch e.End {
+	case fleet.EndDone:
+		k.learnFromEnd(r, runWhole)
+	case fleet.EndFailed:
+		k.learnFromEnd(r, runFailed)
+	default:
+		k.learnFromEnd(r, runCut)
+	}
 	t := r.task()
 	if t.currentRun != r {
 		return
--- a/core/cell/schedule.go
+++ b/core/cell/schedule.go
@@ -264,7 +264,7 @@
 	if s.Service {
 		return false
 	}
-	loss := time.Duration((k.OffRackFactor - 1) * float64(s.Estimate()))
+	loss := time.Duration((k.OffRackFactor - 1) * float64(s.expected.Typical))
 	return k.now.Monotonic < s.readyAt+min(loss/2, maxRackWait) && k.latenessRank(s) == 0
 }
 
--- a/core/cell/state.go
+++ b/core/cell/state.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"jacinthwind/core/demand"
+	"jacinthwind/core/estimate"
 	"jacinthwind/core/fleet"
 	"jacinthwind/core/job"
 	"jacinthwind/core/suspicion"
@@ -29,7 +30,9 @@
 	due       time.Duration
 	steps     []*stepRun
 	openSteps int
-	// remainingWork is the estimated work that is not done, in thousandths of a core
+	// outlook is what is expected of the steps.
+	outlook outlook
+	// remainingWork is the expected work that is not done, in thousandths of a core
 	// times milliseconds.
 	remainingWork int64
 	queue         *fleet.Queue
@@ -64,7 +67,9 @@
 	// due is the end of the latency objective of the job or the occurrence.
 	due       time.Duration
 	activated bool
-	// criticalPath is the estimated time from the start of the step to the end of the
+	// expected is what is expected of the run time of a task.
+	expected estimate.Prediction
+	// criticalPath is the expected time from the start of the step to the end of the
 	// job.
 	criticalPath time.Duration
 	// tickets holds the tickets that the advice service issued, by executor.
@@ -156,6 +161,8 @@
 	// progress reported then.
 	firstReportAt time.Duration
 	firstPercent  int
+	// resumed is true if the run continues from a checkpoint.
+	resumed bool
 	// progressedAt is when percent last changed.
 	progressedAt time.Duration
 	// beganAt is when the known incarnation of the executor first showed that it has the run,
@@ -266,6 +273,10 @@
 	// failureStreak counts the failed runs since the last success.
 	failureStreak int
 	lastSuccessAt time.Duration
+	// isSlow is true while several runs of different jobs are much slower here than expected.
+	isSlow bool
+	// endedSpeeds holds the speeds of the last runs that ended here, the oldest first.
+	endedSpeeds []endedSpeed
 	// refusals counts the starts in a row that the executor refused for want of capacity
 	// or because its deadline had passed.
 	refusals int
--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -61,14 +61,15 @@
 	}
 	e.Job.Pool = queue.Pool
 	e.Job.AcceptedMs = k.now.UnixMs
+	o := k.foresee(e.Job)
 	if !earlier.counted {
 		earlier.counted = true
 		k.refusals[e.Job.ID] = earlier
-		k.ensurePool(queue.Pool).demand.AddJob(firstTry, float64(e.Job.EstimatedWork())/coreSecond)
+		k.ensurePool(queue.Pool).demand.AddJob(firstTry, float64(o.work)/coreSecond)
 	}
 	// The objective counts from the caller's first attempt.
 	e.Job.AcceptedMs -= (k.now.Monotonic - firstTry).Milliseconds()
-	a := k.admitJob(e.Job, queue, firstTry)
+	a := k.admitJob(e.Job, o, queue, firstTry)
 	if e.Deadline != 0 && e.Deadline < k.now.Monotonic+minStoreTime && a.Verdict == Accepted {
 		a = Answer{Verdict: Refused, RetryAfter: minRetryAfter, Reason: "the caller does not wait long enough for the job to be stored"}
 	}
@@ -95,13 +96,13 @@
 	k.refusals[e.Job.ID] = refusal{firstTry, k.now.Monotonic, k.refusals[e.Job.ID].counted}
 	k.log(event.JobRefused, "job", e.Job.ID, "queue", e.Job.Queue, "team", e.Job.Team, "reason", a.Reason,
 		"retry_after_ms", a.RetryAfter.Milliseconds(), "expected_wait_ms", a.Wait.Milliseconds(),
-		"chain_ms", e.Job.CriticalPath().Milliseconds(), "asked_first_ms", (k.now.Monotonic - firstTry).Milliseconds(), "attempt", e.Attempt)
+		"chain_ms", k.foresee(e.Job).chain.Milliseconds(), "said_chain_ms", e.Job.CriticalPath(e.Job.Estimates()).Milliseconds(), "asked_first_ms", (k.now.Monotonic - firstTry).Milliseconds(), "attempt", e.Attempt)
 	k.emit(Reply{e.Call, a})
 }
 
 // admitJob decides whether a job that was first submitted at a given time can meet
 // its latency objective.
-func (k *Kernel) admitJob(j *job.Job, queue *fleet.Queue, first time.Duration) Answer {
+func (k *Kernel) admitJob(j *job.Job, o outlook, queue *fleet.Queue, first time.Duration) Answer {
 	c := k.poolCapacity(queue.Pool, "")
 	for i := range j.Steps {
 		if r := j.Steps[i].ReservedSize(); !r.FitsIn(c.largest) && c.largest != (fleet.Vector{}) {
@@ -116,7 +117,7 @@
 			return Answer{Verdict: Refused, RetryAfter: maxRetryAfter, Reason: "a task is larger than every executor at present"}
 		}
 	}
-	criticalPath := j.CriticalPath()
+	criticalPath := o.chain
 	due := first + latencyObjective(queue, criticalPath)
 	wait, ok := k.expectedWait(j, queue, due, c)
 	if !ok {
@@ -176,7 +177,7 @@
 	// Of the scheduled jobs only the occurrences that are due compete.
 	for _, s := range k.ensurePool(queue.Pool).readySteps {
 		if s.job.OccurrenceCount > 0 && k.isDue(s, 0) && s.due <= due && (label == "" || s.Label == label) {
-			left += int64(s.waitingTasks) * s.TaskWork()
+			left += int64(s.waitingTasks) * s.expectedTaskWork()
 		}
 	}
 	return float64(left) / coreSecond
@@ -286,7 +287,8 @@
 	age := time.Duration(max(k.now.UnixMs-spec.AcceptedMs, 0)) * time.Millisecond
 	j := &jobState{Job: spec, state: p.State, visibleState: p.State, queue: queue, endedMs: p.EndedMs}
 	j.arrivedAt = k.now.Monotonic - age
-	objective := latencyObjective(queue, spec.CriticalPath())
+	j.outlook = k.foresee(spec)
+	objective := latencyObjective(queue, j.outlook.chain)
 	j.due = j.arrivedAt + objective
 	k.jobs[spec.ID] = j
 	if p.State.IsFinal() {
@@ -299,12 +301,12 @@
 	if j.parts = spec.PartCount(j.partTasks); j.parts == 0 {
 		j.partTasks = 0
 	}
-	paths := criticalPaths(spec)
+	paths := j.outlook.criticalPaths(spec)
 	firstTask := 0
 	for occ := range spec.Occurrences() {
 		first := len(j.steps)
 		for i := range spec.Steps {
-			s := &stepRun{job: j, occurrence: occ, index: i, Step: &spec.Steps[i], criticalPath: paths[i], due: j.due, firstTask: firstTask}
+			s := &stepRun{job: j, occurrence: occ, index: i, Step: &spec.Steps[i], expected: j.outlook.steps[i], criticalPath: paths[i], due: j.due, firstTask: firstTask}
 			firstTask += s.Count
 			s.tasks = make([]task, s.Count)
 			s.waitingTasks = s.Count
@@ -322,26 +324,13 @@
 	if spec.OccurrenceCount == 0 {
 		k.queueDepth[j.queueName()]++
 	}
-	j.remainingWork = spec.EstimatedWork()
+	j.remainingWork = j.outlook.work
 	if j.remainingWork > 0 && spec.OccurrenceCount == 0 {
 		k.openJob(j)
 	}
 	return j
 }
 
-// criticalPaths returns for each step the longest estimated time from its start to
-// the end of the job.
-func criticalPaths(j *job.Job) []time.Duration {
-	t := make([]time.Duration, len(j.Steps))
-	for i := len(j.Steps) - 1; i >= 0; i-- {
-		t[i] += j.Steps[i].Estimate()
-		for _, a := range j.Steps[i].After {
-			t[a] = max(t[a], t[i])
-		}
-	}
-	return t
-}
-
 // beginJob activates the steps of a stored job that have no open dependencies.
 func (k *Kernel) beginJob(j *jobState) {
 	if j.state.IsFinal() {
--- a/core/cell/vm_order.go
+++ b/core/cell/vm_order.go
@@ -9,6 +9,10 @@
 	"jacinthwind/core/fleet"
 )
 
+// ordersRefreshInterval is the shortest time between two records of how old the recent orders
+// are, unless there are new ones.
+const ordersRefreshInterval = 500 * time.Millisecond
+
 // vmOrder is an order for a VM that may be in progress.
 type vmOrder struct {
 	wave   int
@@ -109,7 +113,10 @@
 	if at, refused := k.orderRefusedAt[vm]; refused && k.now.Monotonic < at+vmOrderRetryInterval {
 		return false
 	}
-	return (!k.inheritedOrders[vm] && !k.inheritsUnknownOrders) || k.now.Monotonic >= k.claimedAt+k.VMOrderLease
+	if k.inheritsUnknownOrders && k.now.Monotonic < k.claimedAt+k.VMOrderLease {
+		return false
+	}
+	return k.now.Monotonic >= k.inheritedOrders[vm]
 }
 
 // recordVMOrder records an order for a VM and lets it be sent once the record is
@@ -129,6 +136,7 @@
 // listRecentOrders returns the record of the VMs for which orders were recorded within
 // the lease of an order.
 func (k *Kernel) listRecentOrders() Record {
+	k.ordersListedAt = k.now.Monotonic
 	record := VMOrdersList{}
 	for _, name := range slices.Sorted(maps.Keys(k.orderRecordedAt)) {
 		if k.now.Monotonic > k.orderRecordedAt[name]+k.VMOrderLease {
@@ -136,10 +144,25 @@
 			continue
 		}
 		record.VMs = append(record.VMs, name)
+		var age time.Duration
+		if _, inProgress := k.vmOrders[name]; !inProgress {
+			// It is not sent again without a record of that.
+			age = k.now.Monotonic - k.orderRecordedAt[name]
+		}
+		record.AgesMs = append(record.AgesMs, age.Milliseconds())
 	}
 	return Record{Kind: VMOrdersRecord, Name: "recent", Value: record}
 }
 
+// refreshRecentOrders records how old the recent orders are, with a write that is made anyway:
+// the next owner need not wait for those that are long done.
+func (k *Kernel) refreshRecentOrders() {
+	if len(k.orderRecordedAt) == 0 || k.now.Monotonic < k.ordersListedAt+ordersRefreshInterval {
+		return
+	}
+	k.outbox.records["orders"] = k.listRecentOrders()
+}
+
 // sendVMOrder sends an order, or drops it if the lease no longer proves the
 // ownership.
 func (k *Kernel) sendVMOrder(vm string, o vmOrder) {
@@ -173,15 +196,23 @@
 type VMOrdersList struct {
 	// VMs lists the VMs for which orders were recently sent.
 	VMs []string `json:"vms"`
+	// AgesMs holds how many milliseconds before the list was written each order was last
+	// sent. Builds that did not store it count as zero.
+	AgesMs []int64 `json:"ages_ms,omitempty"`
 }
 
 // LoadVMOrders restores the orders of earlier owners; it must be called before the
 // first event.
 func (k *Kernel) LoadVMOrders(r VMOrdersList) {
-	for _, vm := range r.VMs {
-		k.inheritedOrders[vm] = true
-		// They stay in the record until their lease has certainly expired.
-		k.orderRecordedAt[vm] = k.now.Monotonic
+	for i, vm := range r.VMs {
+		var age time.Duration
+		if i < len(r.AgesMs) {
+			age = min(max(time.Duration(r.AgesMs[i])*time.Millisecond, 0), k.VMOrderLease)
+		}
+		// The list was written before the claim, so that the order is older than this. Orders
+		// stay in the record until their lease has certainly expired.
+		k.orderRecordedAt[vm] = k.claimedAt - age
+		k.inheritedOrders[vm] = k.claimedAt - age + k.VMOrderLease
 	}
 }
 
--- a/core/cell/vm_order_test.go
+++ b/core/cell/vm_order_test.go
@@ -75,3 +75,27 @@
 	w.advance(5 * time.Second)
 	require.Equal(t, 2, w.countAllRuns(j.ID))
 }
+
+// TestOldOrdersDoNotBarLaterOwners guards against owners that follow each other quickly and
+// each wait again for orders that the first of them sent: VMs that nobody orders any more then
+// stay away from the pools that need them for as long as owners change (a rolling restart).
+func TestOldOrdersDoNotBarLaterOwners(t *testing.T) {
+	w := newWorld(t, 6)
+	w.replaceVMs = true
+	w.advance(5 * time.Second)
+	require.NotEmpty(t, w.moveOrdered, "idle VMs are parked")
+	// Each owner writes records of jobs.
+	for i := range 3 {
+		w.replaceOwner()
+		w.advance(500 * time.Millisecond)
+		w.submitJob(simpleJob(10+i, 1, 100))
+		w.advance(700 * time.Millisecond)
+	}
+	clear(w.moveOrdered)
+	for i := range 4 {
+		w.submitJob(simpleJob(20+i, 24, 1000))
+	}
+	// A lease that began with the last claim would end later.
+	w.advance(600 * time.Millisecond)
+	require.NotEmpty(t, w.moveOrdered, "the VMs of the spare pool serve the burst")
+}
--- a/core/cell/world_jobs_test.go
+++ b/core/cell/world_jobs_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"jacinthwind/core/cell"
+	"jacinthwind/core/estimate"
 	"jacinthwind/core/fleet"
 	"jacinthwind/core/job"
 )
@@ -52,6 +53,9 @@
 			require.NoError(w.t, json.Unmarshal(data, &w.waveRecord))
 		case cell.VMOrdersRecord:
 			require.NoError(w.t, json.Unmarshal(data, &w.orderRecord))
+		case cell.EstimatesRecord:
+			w.estimates = estimate.Stored{}
+			require.NoError(w.t, json.Unmarshal(data, &w.estimates))
 		case cell.ProgressRecord:
 			var p job.Progress
 			require.NoError(w.t, json.Unmarshal(data, &p))
--- a/core/cell/world_test.go
+++ b/core/cell/world_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"jacinthwind/core/cell"
+	"jacinthwind/core/estimate"
 	"jacinthwind/core/event"
 	"jacinthwind/core/fleet"
 	"jacinthwind/core/job"
@@ -78,6 +79,8 @@
 	moveOrdered, maintenanceOrdered map[string]bool
 	waveRecord                      cell.WaveProgress
 	orderRecord                     cell.VMOrdersList
+	// estimates is what owners have stored of run times.
+	estimates estimate.Stored
 	// throttlePercents holds the percentage to which each best-effort task was last
 	// throttled. tickets holds the tickets that the advice service issues.
 	throttlePercents map[string]int
@@ -220,6 +223,9 @@
 		})
 	}
 	w.kernel.LoadVMOrders(w.orderRecord)
+	if w.estimates.Form > 0 {
+		w.step(cell.EstimatesLoaded{Estimates: w.estimates})
+	}
 	if len(w.waveRecord.Done) > 0 {
 		w.kernel.LoadWave(1, w.waveRecord)
 	}
--- a/core/event/platform.go
+++ b/core/event/platform.go
@@ -37,6 +37,11 @@
 	WaveSucceeded         Number = 635
 	PoolPlanned           Number = 636
 	RecoveryEnded         Number = 637
+	EstimatesLearnt       Number = 641
+	EstimatesLoaded       Number = 642
+	EstimatesDropped      Number = 643
+	RunTimeOdd            Number = 644
+	ExecutorSlow          Number = 645
 	SubmissionRefused     Number = 701
 	SubmissionUncertain   Number = 702
 	StateUnknown          Number = 703
@@ -123,6 +128,11 @@
 		WaveSucceeded:         "all VMs of a wave have had their maintenance",
 		PoolPlanned:           "the VMs of a pool compared with the need of its work",
 		RecoveryEnded:         "recovery ended: no order of an earlier owner can still take effect unnoticed",
+		EstimatesLearnt:       "what was learnt of the run times of a queue, compared with what its callers say",
+		EstimatesLoaded:       "what earlier owners have learnt of run times is known",
+		EstimatesDropped:      "what an earlier owner has stored of run times cannot be used; run times are learnt anew",
+		RunTimeOdd:            "the run time of a task is beyond what is believed, and counts as less",
+		ExecutorSlow:          "several runs of different jobs are much slower on an executor than expected, or no more",
 		SubmissionRefused:     "a submission was refused because no owner could be reached or could process it",
 		SubmissionUncertain:   "it is not known whether a submission was accepted",
 		StateUnknown:          "a job's state could be read neither from the owner nor from the store",
@@ -192,6 +202,8 @@
 	RunStraggles:         true,
 	ExecutorSilent:       true,
 	ExecutorAvoided:      true,
+	ExecutorSlow:         true,
+	EstimatesDropped:     true,
 	SubmissionUncertain:  true,
 	StateUnknown:         true,
 	CancelUncertain:      true,
--- a/core/job/job.go
+++ b/core/job/job.go
@@ -122,13 +122,13 @@
 // ChargedSize returns what a task counts against its team's limit, at most maxSize.
 func (s *Step) ChargedSize() fleet.Vector { return s.Size.Min(maxSize) }
 
-// TaskWork returns the estimated processor time of one task, in thousandths of a core
-// times milliseconds, at most maxTaskWork.
-func (s *Step) TaskWork() int64 {
-	if s.Size.CPU > 0 && s.EstimateMs > maxTaskWork/s.Size.CPU {
+// TaskWork returns the processor time of one task that runs for the given time, in thousandths
+// of a core times milliseconds, at most maxTaskWork.
+func (s *Step) TaskWork(runTime time.Duration) int64 {
+	if s.Size.CPU > 0 && runTime.Milliseconds() > maxTaskWork/s.Size.CPU {
 		return maxTaskWork
 	}
-	return s.Size.CPU * s.EstimateMs
+	return s.Size.CPU * runTime.Milliseconds()
 }
 
 // Estimate returns the caller's estimate of a task's run time, at most maxEstimateMs.
@@ -136,9 +136,18 @@
 	return time.Duration(min(s.EstimateMs, maxEstimateMs)) * time.Millisecond
 }
 
-// CriticalPath returns the length of the critical path: the largest sum of
-// estimated run times over steps that depend on each other.
-func (j *Job) CriticalPath() time.Duration {
+// Estimates returns the caller's estimates of the run times of the tasks, by step.
+func (j *Job) Estimates() []time.Duration {
+	times := make([]time.Duration, len(j.Steps))
+	for i := range j.Steps {
+		times[i] = j.Steps[i].Estimate()
+	}
+	return times
+}
+
+// CriticalPath returns the length of the critical path: the largest sum of run times, given by
+// step, over steps that depend on each other.
+func (j *Job) CriticalPath(times []time.Duration) time.Duration {
 	ends := make([]time.Duration, len(j.Steps))
 	var longest time.Duration
 	for i := range j.Steps {
@@ -146,19 +155,19 @@
 		for _, a := range j.Steps[i].After {
 			begin = max(begin, ends[a])
 		}
-		ends[i] = begin + j.Steps[i].Estimate()
+		ends[i] = begin + times[i]
 		longest = max(longest, ends[i])
 	}
 	return longest
 }
 
-// EstimatedWork returns the estimated processor time of all tasks that end, in
-// thousandths of a core times milliseconds.
-func (j *Job) EstimatedWork() int64 {
+// Work returns the processor time of all tasks that end, in thousandths of a core times
+// milliseconds, for run times given by step.
+func (j *Job) Work(times []time.Duration) int64 {
 	var work int64
 	for i := range j.Steps {
 		if s := &j.Steps[i]; !s.Service && !s.BestEffort {
-			work += int64(s.Count) * s.TaskWork()
+			work += int64(s.Count) * s.TaskWork(times[i])
 		}
 	}
 	return work
--- a/core/job/job_test.go
+++ b/core/job/job_test.go
@@ -32,15 +32,15 @@
 func TestEstimatedWorkDoesNotOverflow(t *testing.T) {
 	j := job.Job{Steps: []job.Step{{Count: job.MaxTasks, Size: fleet.Vector{CPU: math.MaxInt64}, EstimateMs: math.MaxInt64}}}
 	require.NoError(t, j.Check())
-	require.Positive(t, j.EstimatedWork())
+	require.Positive(t, j.Work(j.Estimates()))
 	j.Steps[0] = job.Step{Count: 3, Size: fleet.Vector{CPU: 8500}, EstimateMs: 800}
-	require.Equal(t, int64(3*8500*800), j.EstimatedWork())
+	require.Equal(t, int64(3*8500*800), j.Work(j.Estimates()))
 	j.Steps = nil
 	for i := range job.MaxSteps {
 		j.Steps = append(j.Steps, job.Step{Count: 1, EstimateMs: math.MaxInt64, Size: fleet.Vector{CPU: math.MaxInt64, Mem: math.MaxInt64, GPU: math.MaxInt64}, After: []int{max(i-1, 0)}[:min(i, 1)]})
 	}
 	require.NoError(t, j.Check())
-	require.Greater(t, j.CriticalPath(), j.Steps[0].Estimate())
+	require.Greater(t, j.CriticalPath(j.Estimates()), j.Steps[0].Estimate())
 	for _, sum := range []fleet.Vector{j.Steps[0].ReservedSize().Times(job.MaxTasks), j.Steps[0].ChargedSize().Times(job.MaxTasks)} {
 		require.Positive(t, min(sum.CPU, sum.Mem, sum.GPU))
 	}
--- a/edge/host.go
+++ b/edge/host.go
@@ -130,6 +130,7 @@
 	if h.ended != nil {
 		h.goroutines.Go(func() { h.runOrHandOver("load the ended jobs", h.loadEndedJobs) })
 	}
+	h.goroutines.Go(func() { h.runOrHandOver("load the estimates", h.loadEstimates) })
 	if h.links != nil {
 		h.links.attach(h.send)
 	}
--- a/edge/records.go
+++ b/edge/records.go
@@ -26,6 +26,8 @@
 	prefixOpen   = "jw/open/"
 	keyOpenIndex = "jw/open"
 	keyOrders    = "jw/orders"
+	// keyEstimates holds what was learnt of run times.
+	keyEstimates = "jw/estimates"
 )
 
 // ownerRecord identifies the owner of the pools; the revision of its item is the
@@ -84,6 +86,8 @@
 		return core.Put{Key: prefixWave + r.Name, Value: mustEncode(r.Value)}
 	case cell.VMOrdersRecord:
 		return core.Put{Key: keyOrders, Value: mustEncode(r.Value)}
+	case cell.EstimatesRecord:
+		return core.Put{Key: keyEstimates, Value: mustEncode(r.Value)}
 	case cell.WaveStatusRecord:
 		status, _ := r.Value.(string)
 		key, value := codec.EncodeWaveStatus(r.Name, status)
