Give the pools to VMs with room, and let owners change without loss

With a slow store jobs were accepted after 1.2 s. Change: core/candidacy decides who waits with a claim and when an owner hands over; writes are divided evenly among up to 24 lanes; admission counts the time of the store; a wave keeps its time over takeovers. TestWriteEndsWithItsLastLane no longer asks laneOf, which is gone; that a job's records share a lane is checked by TestLargeWriteTakesFewRounds in the transactions themselves.

--- a/commands/edge.go
+++ b/commands/edge.go
@@ -18,6 +18,7 @@
 
 	"jacinthwind/common/eventlog"
 	"jacinthwind/common/metrics"
+	"jacinthwind/core/candidacy"
 	"jacinthwind/core/event"
 	"jacinthwind/edge"
 	"jacinthwind/platform"
@@ -103,11 +104,12 @@
 	if slowLink {
 		kernelSettings.ListVMsInterval = slowListVMsInterval
 	}
+	cores := settings.Limits.CPUShare * settings.Limits.Cores
 	process := edge.New(edge.Settings{
 		Node: settings.Node, DataCentre: settings.Zone, Front: settings.Listen.Front, Ready: settings.Listen.Ready,
 		Peer:                net.JoinHostPort(settings.IP, strconv.Itoa(settings.PortRange[0])),
 		MaxConfigurationAge: settings.Bounds.MaxConfigurationAge(),
-		Kernel:              kernelSettings, Cores: settings.Limits.CPUShare * settings.Limits.Cores,
+		Kernel:              kernelSettings, Cores: cores, Room: candidacy.Room{Cores: cores, LinkMbps: settings.Limits.LinkMbps},
 		SlowLink: slowLink, MemoryBytes: memoryBytes, MaxFiles: settings.Limits.MaxFds,
 	}, edge.Dependencies{
 		Store: store,
--- a/core/cell/outbox.go
+++ b/core/cell/outbox.go
@@ -23,6 +23,23 @@
 	inFlightBatch batch
 	lastWrite     int64
 	flushedAt     time.Duration
+	// writeTime is how long a write usually takes at present.
+	writeTime time.Duration
+}
+
+// writeTimeWeight is the inverse of the weight of the last write in outbox.writeTime.
+const writeTimeWeight = 4
+
+// expectStored returns how long a job that is submitted now is expected to wait until it is
+// stored, and how long a change at a later time waits on average: for the write in progress, if
+// there is one, and its own.
+func (o *outbox) expectStored(now time.Duration) (job, later time.Duration) {
+	took := o.writeTime
+	if o.inFlightWrite == 0 {
+		return took, took
+	}
+	took = max(took, now-o.flushedAt)
+	return max(o.writeTime-(now-o.flushedAt), 0) + took, took + took/2
 }
 
 // batch holds what is completed when a write is stored.
@@ -97,6 +114,7 @@
 	if e.Write != o.inFlightWrite {
 		return
 	}
+	o.writeTime += (k.now.Monotonic - o.flushedAt - o.writeTime) / writeTimeWeight
 	done := o.inFlightBatch
 	o.inFlightWrite, o.inFlightBatch = 0, batch{}
 	rejected := map[string]bool{}
--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -123,7 +123,9 @@
 	if !ok {
 		return Answer{Verdict: Refused, RetryAfter: maxRetryAfter, Reason: "no executor to serve the queue"}
 	}
-	late := k.now.Monotonic + wait + criticalPath - due
+	// The backlog is worked off while the job is stored, and its end shows once that is stored.
+	stored, shown := k.outbox.expectStored(k.now.Monotonic)
+	late := k.now.Monotonic + max(wait, stored) + criticalPath + shown - due
 	if late <= 0 {
 		return Answer{Verdict: Accepted}
 	}
--- a/core/cell/takeover_test.go
+++ b/core/cell/takeover_test.go
@@ -347,3 +347,24 @@
 	require.Empty(t, w.jobState("00000000000000aa"), "an open job is loaded before the owner serves")
 	require.Equal(t, job.Running, w.jobState("00000000000000ab"), "what cannot be read is known and does not run")
 }
+
+// TestWaveKeepsItsTimeOverTakeovers guards against owners that each count the time that the
+// operators allow for a wave from their own claim, so that the wave ends late by as much.
+func TestWaveKeepsItsTimeOverTakeovers(t *testing.T) {
+	w := newWorld(t, 4)
+	w.advance(time.Second)
+	w.waves = []fleet.Wave{{Number: 1, VMs: []string{"vm-e0", "vm-e1", "vm-e2", "vm-e3"}, TimeLimitS: 60, MaxDown: 1}}
+	w.step(cell.WavesUpdated{Waves: w.waves})
+	w.advance(4 * time.Second)
+	for range 2 {
+		w.replaceOwner()
+		w.advance(2 * time.Second)
+	}
+	d := w.kernel.Dump(w.clock())
+	require.Len(t, d.Waves, 1)
+	require.GreaterOrEqual(t, d.Waves[0].AgeMs, int64(8000))
+	// A record of a build that did not store the time.
+	w.waveRecord.AskedMs = 0
+	w.replaceOwner()
+	require.Less(t, w.kernel.Dump(w.clock()).Waves[0].AgeMs, int64(1000))
+}
--- a/core/cell/wave.go
+++ b/core/cell/wave.go
@@ -46,7 +46,9 @@
 type wave struct {
 	fleet.Wave
 	requestedAt time.Duration
-	doneVMs     map[string]bool
+	// askedMs is the same time on the wall clock of the owner that first saw the request.
+	askedMs int64
+	doneVMs map[string]bool
 	// members holds the names of the wave's VMs.
 	members map[string]bool
 	// reportedStatus is the status last reported to operators, empty before the first
@@ -57,8 +59,14 @@
 // WaveProgress is the stored progress of a wave.
 type WaveProgress struct {
 	Done []string `json:"done"`
+	// AskedMs is the Unix time in milliseconds at which an owner first saw the request, zero
+	// in records of builds that did not store it.
+	AskedMs int64 `json:"asked_ms,omitempty"`
 }
 
+// maxWaveAge bounds the age of a wave that a stored time suggests, since clocks may jump.
+const maxWaveAge = time.Hour
+
 // Wave statuses that operators read.
 const (
 	waveRunning   = "running"
@@ -79,9 +87,11 @@
 			known.indexMembers()
 			continue
 		}
-		added := &wave{Wave: w, requestedAt: k.now.Monotonic, doneVMs: map[string]bool{}}
+		added := &wave{Wave: w, requestedAt: k.now.Monotonic, askedMs: k.now.UnixMs, doneVMs: map[string]bool{}}
 		added.indexMembers()
 		k.waves[w.Number] = added
+		// The time that the operators allow goes on under the next owner.
+		k.recordWave(added)
 		k.log(event.WaveAsked, "wave", w.Number, "vms", len(w.VMs), "cap", w.MaxDown, "within_s", w.TimeLimitS)
 	}
 }
@@ -119,7 +129,10 @@
 // LoadWave restores a wave's progress from the store; it must be called before the
 // first event.
 func (k *Kernel) LoadWave(number int, p WaveProgress) {
-	w := &wave{Wave: fleet.Wave{Number: number}, requestedAt: k.now.Monotonic, doneVMs: map[string]bool{}}
+	w := &wave{Wave: fleet.Wave{Number: number}, requestedAt: k.now.Monotonic, askedMs: p.AskedMs, doneVMs: map[string]bool{}}
+	if p.AskedMs > 0 {
+		w.requestedAt -= min(max(time.Duration(k.now.UnixMs-p.AskedMs)*time.Millisecond, 0), maxWaveAge)
+	}
 	for _, vm := range p.Done {
 		w.doneVMs[vm] = true
 	}
@@ -337,8 +350,13 @@
 // markVMDone records that a VM needs nothing more from its wave.
 func (k *Kernel) markVMDone(w *wave, name string) {
 	w.doneVMs[name] = true
+	k.recordWave(w)
+}
+
+// recordWave stores the progress of a wave.
+func (k *Kernel) recordWave(w *wave) {
 	n := strconv.Itoa(w.Number)
-	k.outbox.records["wave/"+n] = Record{Kind: WaveRecord, Name: n, Value: WaveProgress{Done: slices.Sorted(maps.Keys(w.doneVMs))}}
+	k.outbox.records["wave/"+n] = Record{Kind: WaveRecord, Name: n, Value: WaveProgress{Done: slices.Sorted(maps.Keys(w.doneVMs)), AskedMs: w.askedMs}}
 }
 
 // reportWaveStatus stores a wave's status for operators if it changed.
--- a/core/cell/world_test.go
+++ b/core/cell/world_test.go
@@ -226,7 +226,7 @@
 	if w.estimates.Form > 0 {
 		w.step(cell.EstimatesLoaded{Estimates: w.estimates})
 	}
-	if len(w.waveRecord.Done) > 0 {
+	if len(w.waveRecord.Done) > 0 || w.waveRecord.AskedMs > 0 {
 		w.kernel.LoadWave(1, w.waveRecord)
 	}
 	if len(w.evacuated) > 0 {
--- a/edge/owner.go
+++ b/edge/owner.go
@@ -15,6 +15,7 @@
 
 	"jacinthwind/common/eventlog"
 	"jacinthwind/core"
+	"jacinthwind/core/candidacy"
 	"jacinthwind/core/cell"
 	"jacinthwind/core/event"
 )
@@ -68,7 +69,9 @@
 	advisor   core.Advisor
 	settings  cell.Settings
 	// cores is the CPU time that this VM may use, in cores.
-	cores   float64
+	cores float64
+	// room is what this VM has for an owner.
+	room    candidacy.Room
 	log     *eventlog.Log
 	metrics *CallMetrics
 	system  *actor.ActorSystem
@@ -95,6 +98,10 @@
 	claimingOrOwning atomic.Bool
 	// stopping keeps a node that shuts down from claiming.
 	stopping bool
+	// rooms holds the rooms of the other live VMs, and tenure decides when one of them should
+	// own the pools instead.
+	rooms  map[string]candidacy.Room
+	tenure candidacy.Tenure
 	// yieldedAt is when this node last yielded the pools to a VM that can serve them
 	// better.
 	yieldedAt     time.Duration
@@ -125,6 +132,22 @@
 	}
 }
 
+// setRooms stores the rooms of the other live VMs.
+func (o *ownership) setRooms(rooms map[string]candidacy.Room) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.rooms = rooms
+	o.tenure.Observe(monotonicNow(), o.room, rooms)
+}
+
+// shouldYield reports whether a VM with clearly more room is ready to own the pools, which this
+// node has owned since a time.
+func (o *ownership) shouldYield(ownedSince time.Duration) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.tenure.ShouldYield(monotonicNow(), ownedSince)
+}
+
 // currentRecord returns the owner's record and a channel that is closed when the
 // record is next read.
 func (o *ownership) currentRecord() (ownerRecord, <-chan struct{}) {
@@ -191,7 +214,7 @@
 	if isRecent(o.yieldedAt) || isRecent(o.gaveUpAt) || o.cutOff() {
 		d += yieldClaimDelay
 	}
-	return d
+	return d + candidacy.ClaimDelay(o.room, o.rooms)
 }
 
 // yield hands the pools over to a VM that can serve them better, at most once in
@@ -349,6 +372,7 @@
 func (o *ownership) renewUntilLost(ctx context.Context, h *host, c grantedClaim, endReasons <-chan string) string {
 	t := time.NewTicker(ownerRenewInterval)
 	defer t.Stop()
+	ownedSince := monotonicNow()
 	for {
 		select {
 		case <-ctx.Done():
@@ -368,6 +392,8 @@
 				// The peer that relayed the renewal reaches the store, and so may own the
 				// pools.
 				o.yield("this VM is cut off from the store")
+			} else if o.shouldYield(ownedSince) {
+				o.yield("a VM with clearly more room is ready")
 			}
 		case errors.Is(err, core.ErrNotFound):
 			return "the lease has ended"
--- a/edge/process.go
+++ b/edge/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"log/slog"
 	"net"
@@ -19,6 +20,7 @@
 	"jacinthwind/common/eventlog"
 	"jacinthwind/common/jsonhttp"
 	"jacinthwind/core"
+	"jacinthwind/core/candidacy"
 	"jacinthwind/core/cell"
 	"jacinthwind/core/event"
 	"jacinthwind/core/fleet"
@@ -52,6 +54,8 @@
 	MaxConfigurationAge time.Duration
 	// Cores is the CPU time that the VM may use, in cores.
 	Cores float64
+	// Room is what the VM has for an owner of the pools, as the other nodes are told.
+	Room candidacy.Room
 	// SlowLink is set if the VM's network is so slow that messages between nodes are
 	// compressed.
 	SlowLink bool
@@ -124,7 +128,7 @@
 		reportValidUntil: p.outage.reportValidUntil, cutOff: func() bool { return false }, received: func() int64 { return 0 },
 		self:  ownerRecord{Node: s.Node, Incarnation: p.incarnation, Address: s.Peer, Links: true},
 		store: d.Store, lookups: p.lookups, codec: d.Codec, executors: d.Executors, vms: d.VMs, advisor: d.Advisor,
-		settings: s.Kernel, cores: s.Cores, log: d.Log, metrics: d.Metrics, recordChanged: make(chan struct{}),
+		settings: s.Kernel, cores: s.Cores, room: s.Room, log: d.Log, metrics: d.Metrics, recordChanged: make(chan struct{}),
 		system: actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger {
 			return slog.New(slog.DiscardHandler)
 		})),
@@ -352,7 +356,14 @@
 func (p *Process) watchLiveNodes(ctx context.Context) {
 	w := prefixWatcher{store: p.store, prefix: prefixLive, onChange: func(items map[string]core.Item) {
 		var peers []string
+		rooms := map[string]candidacy.Room{}
 		for key, item := range items {
+			if node, ok := strings.CutPrefix(key, prefixRoom); ok && node != p.settings.Node {
+				var r candidacy.Room
+				// What cannot be read is a room that is not known.
+				_ = json.Unmarshal(item.Value, &r)
+				rooms[node] = r
+			}
 			if strings.HasPrefix(key, prefixNode) && key != prefixNode+p.settings.Node {
 				peers = append(peers, string(item.Value))
 			}
@@ -361,6 +372,7 @@
 		p.peers = peers
 		p.peersMu.Unlock()
 		p.outage.recordPeers(monotonicNow(), peers)
+		p.ownership.setRooms(rooms)
 		p.ownership.setRecord(items[keyOwner])
 	}}
 	w.run(ctx)
@@ -390,7 +402,10 @@
 		return 0
 	}
 	_, _, err = p.store.Commit(ctx, core.Transaction{
-		Puts: []core.Put{{Key: prefixNode + p.settings.Node, Value: []byte(p.settings.Peer), Lease: lease}},
+		Puts: []core.Put{
+			{Key: prefixNode + p.settings.Node, Value: []byte(p.settings.Peer), Lease: lease},
+			{Key: prefixRoom + p.settings.Node, Value: mustEncode(p.settings.Room), Lease: lease},
+		},
 	})
 	if err != nil {
 		return 0
--- a/edge/records.go
+++ b/edge/records.go
@@ -11,9 +11,11 @@
 
 // Keys in the store that this package writes.
 const (
-	prefixLive     = "jw/live/"
-	keyOwner       = prefixLive + "owner"
-	prefixNode     = prefixLive + "node/"
+	prefixLive = "jw/live/"
+	keyOwner   = prefixLive + "owner"
+	prefixNode = prefixLive + "node/"
+	// prefixRoom holds what each live VM has for an owner, by node.
+	prefixRoom     = prefixLive + "room/"
 	keySequence    = "jw/sequence"
 	prefixSequence = "jw/sequence/"
 	prefixJob      = "jw/job/"
--- a/edge/writer.go
+++ b/edge/writer.go
@@ -5,7 +5,6 @@
 	"encoding/base64"
 	"encoding/json"
 	"errors"
-	"hash/fnv"
 	"slices"
 	"strconv"
 	"time"
@@ -21,8 +20,12 @@
 
 // Writer limits.
 const (
-	// writerLanes is the number of transactions that are under way at a time.
-	writerLanes = 4
+	// minWriterLanes and maxWriterLanes bound the number of transactions that are under way
+	// at a time.
+	minWriterLanes, maxWriterLanes = 4, 24
+	// laneEntries is how many entries of a write a lane gets on average, so that mostly one
+	// transaction holds them: on a slow store each further one delays all jobs of the write.
+	laneEntries = 22
 	// maxCommitEntries, the two conditions and the sequence record together are the store's
 	// limit of 32 entries per transaction.
 	maxCommitEntries = 29
@@ -44,7 +47,7 @@
 	log   *eventlog.Log
 	// owner is the condition that no other node has claimed the pools since.
 	owner core.Condition
-	lanes [writerLanes]lane
+	lanes [maxWriterLanes]lane
 }
 
 // lane orders its transactions: each expects the sequence record of the one before.
@@ -72,14 +75,42 @@
 	return w, nil
 }
 
-// laneOf returns the lane of a record.
-func laneOf(kind cell.RecordKind, name string) int {
-	if kind != cell.JobRecord && kind != cell.ProgressRecord && kind != cell.ProgressPartRecord {
-		return 0
+// laneChanges holds the changes of a write by lane.
+type laneChanges [maxWriterLanes][]*change
+
+// countLanes returns among how many lanes a write of the given number of entries is divided.
+func countLanes(entries int) int {
+	return min(max((entries+laneEntries-1)/laneEntries, minWriterLanes), maxWriterLanes)
+}
+
+// assignLanes divides the changes of a write among lanes that get about the same number of
+// entries. The changes of one job stay in one lane, in their order. All transactions of a write
+// are known to be done or not before the next one begins, so that a job's lane may differ from
+// write to write.
+func assignLanes(changes []*change) laneChanges {
+	var lanes laneChanges
+	var entries [maxWriterLanes]int
+	total := 0
+	for _, c := range changes {
+		total += c.entries()
+	}
+	n := countLanes(total)
+	laneOfJob := map[string]int{}
+	for _, c := range changes {
+		i, known := laneOfJob[c.job]
+		if !known || c.job == "" {
+			i = 0
+			for other := range n {
+				if entries[other] < entries[i] {
+					i = other
+				}
+			}
+			laneOfJob[c.job] = i
+		}
+		lanes[i] = append(lanes[i], c)
+		entries[i] += c.entries()
 	}
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(name))
-	return int(h.Sum32() % writerLanes)
+	return lanes
 }
 
 // change is what has to be stored together: the entries of one job, or one other record.
@@ -113,7 +144,7 @@
 // write stores a write, all lanes at the same time. It returns the ids of the jobs whose
 // records the store rejects; everything else is stored.
 func (w *writer) write(ctx context.Context, e cell.Write) (rejected []string, err error) {
-	var lanes [writerLanes][]*change
+	var changes []*change
 	jobs := map[string]*change{}
 	opened, ended := map[string]bool{}, map[string]bool{}
 	for _, r := range e.Puts {
@@ -132,8 +163,7 @@
 			c.job = r.Name
 		}
 		if c.entries() == 0 {
-			i := laneOf(r.Kind, r.Name)
-			lanes[i] = append(lanes[i], c)
+			changes = append(changes, c)
 		}
 		c.puts = append(c.puts, encodeRecord(w.codec, r))
 	}
@@ -145,17 +175,16 @@
 		}
 	}
 	for _, removed := range e.Remove {
-		i := laneOf(cell.JobRecord, removed.ID)
-		lanes[i] = append(lanes[i], removeParts(removed)...)
+		changes = append(changes, removeParts(removed)...)
 		if jobs[removed.ID] != nil {
 			// The job was submitted anew; its records are replaced.
 			continue
 		}
-		lanes[i] = append(lanes[i], &change{remove: []string{prefixJob + removed.ID, prefixProgress + removed.ID}})
+		changes = append(changes, &change{job: removed.ID, remove: []string{prefixJob + removed.ID, prefixProgress + removed.ID}})
 	}
-	unstored, err := w.writeLanes(ctx, lanes)
+	unstored, err := w.writeLanes(ctx, assignLanes(changes))
 	for _, c := range unstored {
-		if c.job != "" {
+		if c.job != "" && len(c.puts) > 0 {
 			rejected = append(rejected, c.job)
 		}
 	}
@@ -170,42 +199,45 @@
 	}
 	var changes []*change
 	for some := range slices.Chunk(keys, maxCommitEntries) {
-		changes = append(changes, &change{remove: some})
+		changes = append(changes, &change{job: removed.ID, remove: some})
 	}
 	return changes
 }
 
 // updateIndex adds jobs to the index of the open ones, or removes jobs from it.
 func (w *writer) updateIndex(ctx context.Context, add, remove []string) error {
-	var lanes [writerLanes][]*change
+	var changes []*change
 	for _, id := range add {
-		i := laneOf(cell.JobRecord, id)
-		lanes[i] = append(lanes[i], &change{puts: []core.Put{{Key: prefixOpen + id, Value: openMarker}}})
+		changes = append(changes, &change{job: id, puts: []core.Put{{Key: prefixOpen + id, Value: openMarker}}})
 	}
 	for _, id := range remove {
-		i := laneOf(cell.JobRecord, id)
-		lanes[i] = append(lanes[i], &change{remove: []string{prefixOpen + id}})
+		changes = append(changes, &change{job: id, remove: []string{prefixOpen + id}})
 	}
-	_, err := w.writeLanes(ctx, lanes)
+	_, err := w.writeLanes(ctx, assignLanes(changes))
 	return err
 }
 
 // completeIndex records that the index lists all open jobs.
 func (w *writer) completeIndex(ctx context.Context) error {
 	record := openIndexRecord{Generation: w.lanes[0].sequence.Generation}
-	_, err := w.writeLanes(ctx, [writerLanes][]*change{{{puts: []core.Put{{Key: keyOpenIndex, Value: mustEncode(record)}}}}})
+	_, err := w.writeLanes(ctx, laneChanges{{{puts: []core.Put{{Key: keyOpenIndex, Value: mustEncode(record)}}}}})
 	return err
 }
 
 // writeLanes stores the changes of all lanes at the same time, and returns those that the
 // store rejects.
-func (w *writer) writeLanes(ctx context.Context, lanes [writerLanes][]*change) ([]*change, error) {
+func (w *writer) writeLanes(ctx context.Context, lanes laneChanges) ([]*change, error) {
 	type result struct {
 		rejected []*change
 		err      error
 	}
-	results := make(chan result, writerLanes)
+	results := make(chan result, len(lanes))
+	used := 0
 	for i := range lanes {
+		if len(lanes[i]) == 0 {
+			continue
+		}
+		used++
 		go func() {
 			var r result
 			r.err = guard(w.log, "write to the store", func() (err error) {
@@ -217,7 +249,7 @@
 	}
 	var rejected []*change
 	var failed error
-	for range lanes {
+	for range used {
 		r := <-results
 		rejected = append(rejected, r.rejected...)
 		if r.err != nil && !errors.Is(failed, errDeposed) {
--- a/edge/writer_test.go
+++ b/edge/writer_test.go
@@ -409,15 +409,11 @@
 	slow := &slowLaneStore{fakeStore: s, lane: laneKey(2), release: make(chan struct{})}
 	w.store = slow
 	var e cell.Write
-	lanes := map[int]bool{}
 	for i := range 50 {
 		name := fmt.Sprint("job", i)
-		lanes[laneOf(cell.JobRecord, name)] = true
-		require.Equal(t, laneOf(cell.JobRecord, name), laneOf(cell.ProgressRecord, name), "the records of a job are stored in order")
 		e.Puts = append(e.Puts, cell.Record{Kind: cell.ProgressRecord, Name: name, Value: job.Progress{}})
 	}
-	require.Len(t, lanes, writerLanes)
-	slow.others.Add(writerLanes - 1)
+	slow.others.Add(minWriterLanes - 1)
 	done := make(chan error, 1)
 	go func() { done <- writeAll(w, e) }()
 	slow.others.Wait()
@@ -440,3 +436,48 @@
 	require.ErrorIs(t, err, core.ErrConflict)
 	require.NotContains(t, s.items, put.Key)
 }
+
+// laneCounter counts the transactions of each lane.
+type laneCounter struct {
+	*fakeStore
+	mu   sync.Mutex
+	most int
+	by   map[string]int
+	// lanes holds the lane of each key that was written.
+	lanes map[string]string
+}
+
+func (l *laneCounter) Commit(ctx context.Context, t core.Transaction) (int64, []core.Item, error) {
+	l.mu.Lock()
+	l.by[t.Expect[1].Key]++
+	l.most = max(l.most, l.by[t.Expect[1].Key])
+	for _, p := range t.Puts {
+		l.lanes[p.Key] = t.Expect[1].Key
+	}
+	l.mu.Unlock()
+	return l.fakeStore.Commit(ctx, t)
+}
+
+// TestLargeWriteTakesFewRounds: a burst on a store that takes a third of a second for each call.
+// Each transaction that waits for the one before it delays all jobs of the write, and those that
+// are submitted meanwhile.
+func TestLargeWriteTakesFewRounds(t *testing.T) {
+	s, w := newTestWriter(t)
+	var e cell.Write
+	for i := range 80 {
+		name := fmt.Sprint("job", i)
+		e.Puts = append(e.Puts, cell.Record{Kind: cell.JobRecord, Name: name, Value: &job.Job{ID: name}},
+			cell.Record{Kind: cell.ProgressRecord, Name: name, Value: job.Progress{State: job.Pending}})
+	}
+	for _, c := range []struct{ jobs, most int }{{80, 1}, {8, 1}, {40, 1}, {80, 1}} {
+		counter := &laneCounter{fakeStore: s, by: map[string]int{}, lanes: map[string]string{}}
+		w.store = counter
+		require.NoError(t, writeAll(w, cell.Write{Puts: e.Puts[:2*c.jobs]}))
+		require.LessOrEqual(t, counter.most, c.most, "%d jobs", c.jobs)
+		for i := range c.jobs {
+			id := fmt.Sprint("job", i)
+			require.Contains(t, s.items, prefixJob+id)
+			require.Equal(t, counter.lanes[prefixJob+id], counter.lanes[prefixProgress+id], "the records of a job are stored in order")
+		}
+	}
+}
