Keep several writes in progress

What callers saw: with a slow store (312 ms a call) jobs were accepted 0.7 to 1.2 s after their submission, and most of what was accepted ended late: each write waited for the slowest transaction of the one before. Change: up to 24 writes in progress, each for other jobs; a write of at most 24 entries is one transaction. Ends are acknowledged once all writes that may hold them are done. The test world lets writes overtake each other in random plays, and refuses the maintenance of a VM that is not up, as the platform does: it had started two executors on one VM (input kept by hand; such a play failed since waves are recorded when they are asked for, which shifted its times).

--- a/core/cell/announce.go
+++ b/core/cell/announce.go
@@ -25,7 +25,7 @@
 	}
 	for i := range s.tasks {
 		t := &s.tasks[i]
-		if t.state != taskWaiting || t.uncertain || t.crashes == (suspicion.Record{}) || t.crashes.Unstarted || k.isCrashUnstored(t) {
+		if t.state != taskWaiting || t.uncertain || t.crashes == (suspicion.Record{}) || t.crashes.Unstarted || k.isCrashUnstored(s, t) {
 			continue
 		}
 		if t.crashes.Announced().Run > t.highestRun {
--- a/core/cell/crash.go
+++ b/core/cell/crash.go
@@ -172,11 +172,12 @@
 // holdUntilStored stores the crashes under a task and lets it wait for the write.
 func (k *Kernel) holdUntilStored(s *stepRun, index int) {
 	t := &s.tasks[index]
-	t.crashesWrite, t.crashHoldUntil = k.outbox.lastWrite+1, k.now.Monotonic+crashHoldLimit
+	t.crashHoldUntil = k.now.Monotonic + crashHoldLimit
 	if t.crashes.IsSuspect() {
 		t.crashHoldUntil = math.MaxInt64
 	}
 	k.markTaskDirty(s, index)
+	t.crashesVersion = s.job.version
 }
 
 // isPlannedEnd reports whether an executor ended as announced or by an order for its VM.
@@ -217,15 +218,8 @@
 
 // isCrashUnstored reports whether a task must not start yet since a crash under it is
 // not stored: the next owner would not know of it.
-func (k *Kernel) isCrashUnstored(t *task) bool {
-	if t.crashesWrite == 0 || k.now.Monotonic >= t.crashHoldUntil {
-		return false
-	}
-	stored := k.outbox.lastWrite
-	if k.outbox.inFlightWrite != 0 {
-		stored--
-	}
-	return stored < t.crashesWrite
+func (k *Kernel) isCrashUnstored(s *stepRun, t *task) bool {
+	return k.now.Monotonic < t.crashHoldUntil && s.job.storedVersion < t.crashesVersion
 }
 
 // isClosed reports whether an executor gets no new work because of an isolated run.
@@ -326,7 +320,7 @@
 // If there is none, it closes an executor to new work. A service task that has waited for
 // long starts together with others like it; then isolated is false.
 func (k *Kernel) chooseForIsolation(s *stepRun, t *task, free []*executor) (x *executor, isolated bool) {
-	if k.isCrashUnstored(t) {
+	if k.isCrashUnstored(s, t) {
 		return nil, false
 	}
 	need := s.ReservedSize()
--- a/core/cell/dump.go
+++ b/core/cell/dump.go
@@ -101,7 +101,7 @@
 func (k *Kernel) Dump(now Now) Dump {
 	d := Dump{
 		Token: k.Token, LeaseProvedMs: (k.leaseUntil - now.Monotonic).Milliseconds(), Recovering: k.recovering,
-		Configuration: k.config.Version, Unstored: len(k.outbox.dirty) + len(k.outbox.inFlightBatch.jobs), JobBytes: k.heldBytes,
+		Configuration: k.config.Version, Unstored: len(k.outbox.dirty) + len(k.outbox.busyJobs), JobBytes: k.heldBytes,
 		Usage: maps.Clone(k.teamUsage), VMsAgeMs: (now.Monotonic - k.vmsListedAt).Milliseconds(),
 		Evacuated: slices.Sorted(maps.Keys(k.evacuated)), Estimates: k.estimates.Summaries(),
 	}
--- a/core/cell/kernel.go
+++ b/core/cell/kernel.go
@@ -189,7 +189,7 @@
 		waves: map[int]*wave{}, vms: map[string]fleet.VM{},
 		vmOrders: map[string]vmOrder{}, orderRecordedAt: map[string]time.Duration{}, inheritedOrders: map[string]time.Duration{}, orderRefusedAt: map[string]time.Duration{},
 		config: &fleet.Configuration{}, capacities: map[capacityKey]capacity{}, refusals: map[string]refusal{}, surplusCores: map[string]float64{},
-		outbox: outbox{dirty: map[string]*jobState{}, records: map[string]Record{}},
+		outbox: newOutbox(),
 	}
 }
 
--- a/core/cell/progress.go
+++ b/core/cell/progress.go
@@ -11,6 +11,7 @@
 // markDirty marks a job's state for the next write.
 func (k *Kernel) markDirty(j *jobState) {
 	j.dirty = true
+	j.version++
 	k.outbox.dirty[j.ID] = j
 }
 
--- a/core/cell/random_test.go
+++ b/core/cell/random_test.go
@@ -74,6 +74,9 @@
 			}
 			return time.Duration(50+n%1500) * time.Millisecond, end
 		}
+		r.writeTime = func(number int64) time.Duration {
+			return time.Duration(2+hashRun(seed, "write", int(number))%80) * time.Millisecond
+		}
 		for range rapid.IntRange(10, 60).Draw(t, "length") {
 			r.doRandomAction()
 			r.requireQueueDepth()
--- a/core/cell/schedule.go
+++ b/core/cell/schedule.go
@@ -169,7 +169,7 @@
 			}
 			continue
 		}
-		if k.isCrashUnstored(t) {
+		if k.isCrashUnstored(s, t) {
 			continue
 		}
 		x := k.chooseExecutor(s, t, free)
@@ -364,7 +364,7 @@
 	isolate, needsProof := false, false
 	for i := range s.tasks {
 		t := &s.tasks[i]
-		if t.state != taskWaiting || t.uncertain || t.retryAt > k.now.Monotonic || k.isCrashUnstored(t) {
+		if t.state != taskWaiting || t.uncertain || t.retryAt > k.now.Monotonic || k.isCrashUnstored(s, t) {
 			return
 		}
 		number = max(number, t.highestRun)
--- a/core/cell/state.go
+++ b/core/cell/state.go
@@ -37,6 +37,8 @@
 	remainingWork int64
 	queue         *fleet.Queue
 	dirty         bool
+	// version counts the changes that are to be stored, and storedVersion is the one that is.
+	version, storedVersion int64
 	// heldBytes is the part of Kernel.heldBytes that the job takes.
 	heldBytes int64
 	// partTasks is the number of tasks whose progress one of the parts holds, zero if all
@@ -121,9 +123,9 @@
 	waitingSince time.Duration
 	currentRun   *run
 	// crashes holds the crashes of executors under the task. The task does not start
-	// again before the write crashesWrite has stored it, or until crashHoldUntil.
+	// again before the job's version crashesVersion is stored, or until crashHoldUntil.
 	crashes        suspicion.Record
-	crashesWrite   int64
+	crashesVersion int64
 	crashHoldUntil time.Duration
 }
 
--- a/core/cell/vms_test.go
+++ b/core/cell/vms_test.go
@@ -29,7 +29,6 @@
 		w.runAfter(time.Millisecond, func() { w.answerOwner(k, cell.VMOrdered{VM: vm, Outcome: fleet.VMOrderDone}) })
 		return
 	}
-	w.maintainedVMs[vm] = true
 	disturbedAt := w.disturbedAt
 	id := strings.TrimPrefix(vm, "vm-")
 	var x *fakeExecutor
@@ -38,6 +37,13 @@
 			x = w.executors[w.vms[i].Executor]
 		}
 	}
+	if x == nil || x.down {
+		// The platform takes no order for a VM that is not up; its maintenance would start a
+		// second executor beside the one that starts after the crash.
+		w.runAfter(time.Millisecond, func() { w.answerOwner(k, cell.VMOrdered{VM: vm, Outcome: fleet.VMOrderBusy}) })
+		return
+	}
+	w.maintainedVMs[vm] = true
 	w.crash(x)
 	w.disturbedAt = disturbedAt
 	w.setVM(x.ID, fleet.VMMaintenance)
--- a/core/cell/waiting.go
+++ b/core/cell/waiting.go
@@ -100,7 +100,7 @@
 		return waitsForRecovery
 	case t.retryAt > k.now.Monotonic:
 		return waitsForBackoff
-	case k.isCrashUnstored(t):
+	case k.isCrashUnstored(s, t):
 		return waitsForCrash
 	case free == 0:
 		return waitsForExecutor
--- a/core/cell/world_test.go
+++ b/core/cell/world_test.go
@@ -57,6 +57,8 @@
 	// storeDown is true while writes are held back.
 	storeDown  bool
 	heldWrites []cell.Write
+	// writeTime returns how long the store takes for a write; writes may overtake each other.
+	writeTime func(number int64) time.Duration
 	// endedDelay is how long after its claim an owner has loaded the ended jobs; if it is
 	// zero it loads them with the others. endedUnloaded is true until then.
 	endedDelay    time.Duration
@@ -161,6 +163,7 @@
 		crashAfter:    func(string) time.Duration { return 0 },
 		taskTime:      func(string, int) (time.Duration, fleet.RunEnd) { return 500 * time.Millisecond, fleet.EndDone },
 		orderDelivery: deliverPromptly,
+		writeTime:     func(int64) time.Duration { return 5 * time.Millisecond },
 		answerDelay:   noDelay,
 	}
 	w.config = &fleet.Configuration{
@@ -395,7 +398,7 @@
 	case cell.Reply:
 		w.verdicts[e.Call] = e.Answer
 	case cell.Write:
-		w.runAfter(5*time.Millisecond, func() { w.write(k, e) })
+		w.runAfter(w.writeTime(e.Number), func() { w.write(k, e) })
 	case cell.Start:
 		delay, answered := w.orderDelivery("start", e.Order.Task)
 		if w.executors[e.Order.Executor] == nil {
--- a/edge/host.go
+++ b/edge/host.go
@@ -121,7 +121,7 @@
 	h.ctx, h.cancel = context.WithCancel(context.Background())
 	h.calls = map[cell.CallID]chan cell.Answer{}
 	h.overload.began = monotonicNow()
-	h.writes = make(chan cell.Write, 1)
+	h.writes = make(chan cell.Write, cell.MaxWrites)
 	h.system = system
 	h.pid = system.Root.Spawn(actor.PropsFromFunc(h.receive))
 	h.goroutines.Go(func() { h.runOrHandOver("write to the store", h.runWriter) })
@@ -399,7 +399,7 @@
 	return h.writer.completeIndex(h.ctx)
 }
 
-// runWriter carries out the kernel's writes one at a time.
+// runWriter carries out the kernel's writes.
 func (h *host) runWriter() {
 	// The index is complete before the first write that removes from it.
 	if err := h.repairIndex(); err != nil {
@@ -413,20 +413,25 @@
 		case <-h.ctx.Done():
 			return
 		case e := <-h.writes:
-			began := time.Now()
-			rejected, err := h.writer.write(h.ctx, e)
-			h.metrics.recordCall("store", outcomeLabel(err), time.Since(began))
-			if err != nil {
-				if errors.Is(err, errDeposed) {
-					go h.onDeposed(err.Error())
-				}
-				return
-			}
-			h.send(cell.Written{Write: e.Number, Rejected: rejected})
+			h.goroutines.Go(func() { h.runOrHandOver("write to the store", func() { h.write(e) }) })
 		}
 	}
 }
 
+// write carries out one write. If it fails the ownership ends, so that the kernel hears no more of
+// it.
+func (h *host) write(e cell.Write) {
+	began := time.Now()
+	rejected, err := h.writer.write(h.ctx, e)
+	h.metrics.recordCall("store", outcomeLabel(err), time.Since(began))
+	switch {
+	case err == nil:
+		h.send(cell.Written{Write: e.Number, Rejected: rejected})
+	case errors.Is(err, errDeposed):
+		go h.onDeposed(err.Error())
+	}
+}
+
 // inspect runs f on the kernel between two events, and does not return while f runs. If it
 // returns an error before that, f is not run.
 func (h *host) inspect(ctx context.Context, f func(*cell.Kernel)) error {
--- a/edge/writer.go
+++ b/edge/writer.go
@@ -48,6 +48,8 @@
 	// owner is the condition that no other node has claimed the pools since.
 	owner core.Condition
 	lanes [maxWriterLanes]lane
+	// free holds the numbers of the lanes that no write uses.
+	free chan int
 }
 
 // lane orders its transactions: each expects the sequence record of the one before.
@@ -69,32 +71,52 @@
 	if err != nil {
 		return nil, err
 	}
+	w.free = make(chan int, len(w.lanes))
 	for i := range w.lanes {
 		w.lanes[i] = lane{sequenceRecord{Generation: generation}, items[laneKey(i)].Revision}
+		w.free <- i
 	}
 	return w, nil
 }
 
-// laneChanges holds the changes of a write by lane.
-type laneChanges [maxWriterLanes][]*change
-
 // countLanes returns among how many lanes a write of the given number of entries is divided.
 func countLanes(entries int) int {
+	if entries <= laneEntries {
+		return 1
+	}
 	return min(max((entries+laneEntries-1)/laneEntries, minWriterLanes), maxWriterLanes)
 }
 
-// assignLanes divides the changes of a write among lanes that get about the same number of
-// entries. The changes of one job stay in one lane, in their order. All transactions of a write
-// are known to be done or not before the next one begins, so that a job's lane may differ from
-// write to write.
-func assignLanes(changes []*change) laneChanges {
-	var lanes laneChanges
-	var entries [maxWriterLanes]int
+// takeLanes returns at least one free lane, and up to n.
+func (w *writer) takeLanes(n int) []int {
+	lanes := []int{<-w.free}
+	for len(lanes) < n {
+		select {
+		case i := <-w.free:
+			lanes = append(lanes, i)
+		default:
+			return lanes
+		}
+	}
+	return lanes
+}
+
+// countEntries returns the number of entries of changes.
+func countEntries(changes []*change) int {
 	total := 0
 	for _, c := range changes {
 		total += c.entries()
 	}
-	n := countLanes(total)
+	return total
+}
+
+// assignLanes divides the changes of a write among n lanes that get about the same number of
+// entries. The changes of one job stay in one lane, in their order. No two writes in progress
+// hold changes of one job, and all transactions of a write are known to be done or not when it
+// ends, so that a job's lane may differ from write to write.
+func assignLanes(changes []*change, n int) [][]*change {
+	lanes := make([][]*change, n)
+	entries := make([]int, n)
 	laneOfJob := map[string]int{}
 	for _, c := range changes {
 		i, known := laneOfJob[c.job]
@@ -141,7 +163,8 @@
 	return n
 }
 
-// write stores a write, all lanes at the same time. It returns the ids of the jobs whose
+// write stores a write. Several may be in progress if they hold no changes of the same job or of
+// the same other record. It returns the ids of the jobs whose
 // records the store rejects; everything else is stored.
 func (w *writer) write(ctx context.Context, e cell.Write) (rejected []string, err error) {
 	var changes []*change
@@ -182,7 +205,7 @@
 		}
 		changes = append(changes, &change{job: removed.ID, remove: []string{prefixJob + removed.ID, prefixProgress + removed.ID}})
 	}
-	unstored, err := w.writeLanes(ctx, assignLanes(changes))
+	unstored, err := w.writeChanges(ctx, changes)
 	for _, c := range unstored {
 		if c.job != "" && len(c.puts) > 0 {
 			rejected = append(rejected, c.job)
@@ -213,20 +236,22 @@
 	for _, id := range remove {
 		changes = append(changes, &change{job: id, remove: []string{prefixOpen + id}})
 	}
-	_, err := w.writeLanes(ctx, assignLanes(changes))
+	_, err := w.writeChanges(ctx, changes)
 	return err
 }
 
 // completeIndex records that the index lists all open jobs.
 func (w *writer) completeIndex(ctx context.Context) error {
 	record := openIndexRecord{Generation: w.lanes[0].sequence.Generation}
-	_, err := w.writeLanes(ctx, laneChanges{{{puts: []core.Put{{Key: keyOpenIndex, Value: mustEncode(record)}}}}})
+	_, err := w.writeChanges(ctx, []*change{{puts: []core.Put{{Key: keyOpenIndex, Value: mustEncode(record)}}}})
 	return err
 }
 
-// writeLanes stores the changes of all lanes at the same time, and returns those that the
-// store rejects.
-func (w *writer) writeLanes(ctx context.Context, lanes laneChanges) ([]*change, error) {
+// writeChanges stores changes, in several lanes at the same time if they are many, and returns
+// those that the store rejects.
+func (w *writer) writeChanges(ctx context.Context, changes []*change) ([]*change, error) {
+	taken := w.takeLanes(countLanes(countEntries(changes)))
+	lanes := assignLanes(changes, len(taken))
 	type result struct {
 		rejected []*change
 		err      error
@@ -241,7 +266,7 @@
 		go func() {
 			var r result
 			r.err = guard(w.log, "write to the store", func() (err error) {
-				r.rejected, err = w.writeLane(ctx, i, lanes[i])
+				r.rejected, err = w.writeLane(ctx, taken[i], lanes[i])
 				return err
 			})
 			results <- r
@@ -256,6 +281,9 @@
 			failed = r.err
 		}
 	}
+	for _, i := range taken {
+		w.free <- i
+	}
 	return rejected, failed
 }
 
