Set places aside for large tasks that wait

What callers saw: small tasks leave gaps that large ones can't use and take whatever becomes free: beside a stream of small tasks a task that needs a whole executor did not start within its objective.

--- a/core/cell/dump.go
+++ b/core/cell/dump.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -57,6 +58,10 @@
 	Draining   bool         `json:"draining"`
 	Misses     int          `json:"misses"`
 	Failures   int          `json:"failures"`
+	// SetAsideFor names the step for which a place is set aside, empty if there is none, and
+	// FreeInMs is when it is expected to be free.
+	SetAsideFor string `json:"set_aside_for,omitempty"`
+	FreeInMs    int64  `json:"free_in_ms,omitempty"`
 }
 
 // RunDump is a run on an executor.
@@ -146,6 +151,10 @@
 		ID: x.ID, Pool: x.Pool, DataCentre: x.DataCentre, VM: x.vmName, Capacity: x.Capacity, Used: x.used,
 		Usable: k.isUsable(x), Draining: x.Draining, Misses: x.misses, Failures: x.failureStreak,
 	}
+	if p := x.place; p != nil {
+		d.SetAsideFor = fmt.Sprintf("%s.%d.%d", p.step.job.ID, p.step.occurrence, p.step.index)
+		d.FreeInMs = (p.At - k.now.Monotonic).Milliseconds()
+	}
 	states := map[runState]string{runStarting: "starting", runUnknown: "unknown", runActive: "active", runStopping: "stopping"}
 	for _, r := range sortedRuns(x) {
 		d.Runs = append(d.Runs, RunDump{r.name, r.number, states[r.state], r.percent})
--- a/core/cell/job_memory.go
+++ b/core/cell/job_memory.go
@@ -6,8 +6,8 @@
 const (
 	jobStateBytes = 2048
 	endedJobBytes = 512
-	specStepBytes = 192
-	stepRunBytes  = 256
+	specStepBytes = 240
+	stepRunBytes  = 336
 	taskBytes     = 224
 	// smallJobBytes is the size up to which jobs are accepted while there is any memory
 	// left, and largeJobPermille the part of the memory, in thousandths, beyond which
--- a/core/cell/kernel.go
+++ b/core/cell/kernel.go
@@ -115,6 +115,10 @@
 	// teamLimits holds the last known limit of each team, also of those that the
 	// configuration no longer names.
 	teamLimits map[string]knownLimit
+	// asides holds the places that are set aside for large tasks. isBarred is set if one of them
+	// kept a task away since it was last cleared.
+	asides   []*aside
+	isBarred bool
 	// shares holds how the teams divide the pools.
 	shares teamShares
 
--- a/core/cell/runs.go
+++ b/core/cell/runs.go
@@ -33,6 +33,7 @@
 	x.hasSuspects = x.hasSuspects || t.crashes != suspicion.Record{}
 	t.highestRun = max(t.highestRun, number)
 	k.noteStart(r)
+	k.fillPlace(x, s, r.reserved)
 	return r
 }
 
--- a/core/cell/schedule.go
+++ b/core/cell/schedule.go
@@ -29,6 +29,7 @@
 
 // scheduleTasks starts waiting tasks in all pools.
 func (k *Kernel) scheduleTasks() {
+	k.releaseAsides()
 	for _, name := range slices.Sorted(maps.Keys(k.pools)) {
 		p := k.pools[name]
 		if len(p.readySteps) == 0 {
@@ -46,6 +47,7 @@
 			}
 			k.closeUnusedStarts(s)
 		}
+		k.setAsides(p, candidates, free)
 	}
 	k.requestNextAdvice()
 }
@@ -123,13 +125,23 @@
 // room at present, so that the steps behind them need not be tried.
 type fullPool struct {
 	sizes []fleet.Vector
+	// barred holds the sizes for which only places that are set aside had room, with how long the
+	// tasks would have stayed.
+	barred []barredSize
 	// anyClosed is true if an executor is closed for isolated runs.
 	anyClosed bool
 }
 
-// rejects reports whether a task of the given size cannot fit either.
-func (f *fullPool) rejects(size fleet.Vector) bool {
-	return slices.ContainsFunc(f.sizes, func(tried fleet.Vector) bool { return tried.FitsIn(size) })
+// barredSize is the size of a task, and how long it would have stayed.
+type barredSize struct {
+	size fleet.Vector
+	stay time.Duration
+}
+
+// rejects reports whether a task of a step of the given size cannot fit either.
+func (f *fullPool) rejects(s *stepRun, size fleet.Vector) bool {
+	return slices.ContainsFunc(f.sizes, func(tried fleet.Vector) bool { return tried.FitsIn(size) }) ||
+		slices.ContainsFunc(f.barred, func(tried barredSize) bool { return tried.size.FitsIn(size) && tried.stay <= s.expectedStay() })
 }
 
 // startStep starts as many waiting tasks of a step as fit. Each start only makes the
@@ -138,7 +150,7 @@
 	// Executors that are closed to others may be open to suspected tasks and to those that
 	// have waited for long.
 	mayBeClosed := full.anyClosed && k.now.Monotonic >= s.readyAt+closedWait(s)
-	if !s.suspected && !mayBeClosed && full.rejects(s.ReservedSize()) {
+	if !s.suspected && !mayBeClosed && s.aside == nil && full.rejects(s, s.ReservedSize()) {
 		return
 	}
 	if s.job.queue != nil && s.job.queue.NeedsTicket && !k.ensureTickets(s, free) {
@@ -173,12 +185,15 @@
 		if k.isCrashUnstored(s, t) {
 			continue
 		}
+		k.isBarred = false
 		x := k.chooseExecutor(s, t, free)
 		if x == nil {
 			// Tasks that have not failed are alike, so none of the others fits either. A
 			// failed task ranks executors differently and may wait for its rack alone.
 			if len(t.failedRuns) == 0 && !s.suspected {
-				if s.isUnconstrained() {
+				if s.isUnconstrained() && k.isBarred {
+					full.barred = append(full.barred, barredSize{s.ReservedSize(), s.expectedStay()})
+				} else if s.isUnconstrained() {
 					full.sizes = append(full.sizes, s.ReservedSize())
 				}
 				return
@@ -282,7 +297,7 @@
 // fitsWithTicket reports whether an executor has room for a task and meets its requirements, but
 // for a ticket.
 func (k *Kernel) fitsWithTicket(x *executor, s *stepRun, need fleet.Vector) bool {
-	return x.avoidUntil <= k.now.Monotonic && hasRoom(x, s, need) && (s.PerExecutor == 0 || x.countRuns(s) < s.PerExecutor)
+	return x.avoidUntil <= k.now.Monotonic && hasRoom(x, s, need) && (s.PerExecutor == 0 || x.countRuns(s) < s.PerExecutor) && k.mayUse(x, s, need)
 }
 
 // countRuns returns how many runs of a step an executor has.
--- a/core/cell/state.go
+++ b/core/cell/state.go
@@ -89,6 +89,10 @@
 	// last named in a request.
 	allowed map[string]bool
 	namedAt map[string]time.Duration
+	// aside holds the places that are set aside for the tasks, nil if there are none; until
+	// noAsideUntil the step gets no others.
+	aside        *aside
+	noAsideUntil time.Duration
 	// suspected is true once an executor has crashed under one of the tasks.
 	suspected bool
 }
@@ -291,6 +295,8 @@
 	vmName     string
 	// lastVM is the VM that was last listed with this executor.
 	lastVM string
+	// place is set aside for a step, nil if none is.
+	place *setPlace
 	// cordoned executors get no new work because their VM is to be taken away.
 	cordoned bool
 	// cordonAfter is until when the executor is not cordoned for a wave, since a task that
@@ -310,6 +316,10 @@
 	demand demand.Tracker
 	// shares holds what the pool has taken of each team.
 	shares share.Ledger
+	// usualSize is the usual size of its tasks that end, in the units of fleet.Vector.
+	usualSize [3]float64
+	// asidesAt is when places were last searched for large tasks.
+	asidesAt time.Duration
 	// openJobs holds the jobs with work left; the admission counts them.
 	openJobs map[string]*jobState
 	// backlog holds the work that is left of the open jobs.
--- a/core/event/platform.go
+++ b/core/event/platform.go
@@ -43,6 +43,8 @@
 	RunTimeOdd            Number = 644
 	ExecutorSlow          Number = 645
 	ShareInvalid          Number = 646
+	PlaceSetAside         Number = 647
+	PlaceGivenBack        Number = 648
 	SubmissionRefused     Number = 701
 	SubmissionUncertain   Number = 702
 	StateUnknown          Number = 703
@@ -135,6 +137,8 @@
 		RunTimeOdd:            "the run time of a task is beyond what is believed, and counts as less",
 		ExecutorSlow:          "several runs of different jobs are much slower on an executor than expected, or no more",
 		ShareInvalid:          "the weight of a team cannot be used as it is; another one is used",
+		PlaceSetAside:         "places are set aside for tasks that have waited long for room that smaller work would take",
+		PlaceGivenBack:        "places that were set aside are given back",
 		SubmissionRefused:     "a submission was refused because no owner could be reached or could process it",
 		SubmissionUncertain:   "it is not known whether a submission was accepted",
 		StateUnknown:          "a job's state could be read neither from the owner nor from the store",
--- a/edge/call_metrics.go
+++ b/edge/call_metrics.go
@@ -45,6 +45,12 @@
 	event.TaskGivenUp:     "tasks_given_up",
 	event.RestartDelayed:  "service_restarts_delayed",
 	event.TaskWaits:       "service_tasks_waiting_s",
+	event.JobRefused:      "jobs_refused",
+	event.RunTimeOdd:      "run_times_odd",
+	event.ExecutorSlow:    "executors_slow_changes",
+	event.PlaceSetAside:   "places_set_aside",
+	event.PlaceGivenBack:  "places_given_back",
+	event.OwnerYields:     "handovers_for_a_better_vm",
 }
 
 // countEvent counts an event that has a counter.
