--- a/core/cell/outbox.go
+++ b/core/cell/outbox.go
@@ -82,15 +82,11 @@
 
 // expectStored returns how long a job that is submitted now is expected to wait until it is
 // stored, and how long a later change waits.
-func (o *outbox) expectStored(now time.Duration) (job, later time.Duration) {
-	took := o.writeTime
-	if oldest, ok := o.oldest(); ok {
-		took = max(took, now-oldest)
-	}
+func (o *outbox) expectStored() (job, later time.Duration) {
 	if len(o.inProgress) >= MaxWrites {
-		return 2 * took, took
+		return 2 * o.writeTime, o.writeTime
 	}
-	return took, took
+	return o.writeTime, o.writeTime
 }
 
 // oldest returns when the oldest write in progress was sent, and false if there is none.
--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -127,7 +127,7 @@
 		return Answer{Verdict: Refused, RetryAfter: maxRetryAfter, Reason: "no executor to serve the queue"}
 	}
 	// The backlog is worked off while the job is stored, and its end shows once that is stored.
-	stored, shown := k.outbox.expectStored(k.now.Monotonic)
+	stored, shown := k.outbox.expectStored()
 	slack := due - k.now.Monotonic - criticalPath - shown
 	shareWait := k.shareWait(j.Team, queue.Pool, c)
 	answer := Answer{Wait: wait, ShareWait: shareWait, BeyondShare: max(shareWait, stored) > slack && shareWait > 0}
