--- a/core/estimate/book.go
+++ b/core/estimate/book.go
@@ -96,10 +96,8 @@
 	N, X, D, XX, XD, DD float64
 	// Long is the weight of the reports of the tail.
 	Long float64
-	// Ended and Failed count ends by the task itself, Streak those that failed since one did
-	// not.
+	// Ended and Failed count ends by the task itself.
 	Ended, Failed float64
-	Streak        int
 	at            time.Duration
 }
 
@@ -196,9 +194,9 @@
 	for _, m := range touched {
 		switch r.Kind {
 		case Faulty:
-			m.Ended, m.Failed, m.Streak = m.Ended+w, m.Failed+w, m.Streak+1
+			m.Ended, m.Failed = m.Ended+w, m.Failed+w
 		case Whole:
-			m.Ended, m.Streak = m.Ended+w, 0
+			m.Ended += w
 		}
 	}
 	if r.Kind == Faulty || r.Estimate <= 0 || r.Took <= 0 {
@@ -288,13 +286,6 @@
 	return p
 }
 
-// FailingImage reports whether the last ends of an image of a queue, at least as many as given,
-// were all failures by its own fault.
-func (b *Book) FailingImage(queue, image string, ends int) bool {
-	i := b.images[imageKey{queue, image}]
-	return image != "" && i != nil && i.Streak >= ends
-}
-
 // Summary describes what was learnt of a queue.
 type Summary struct {
 	Queue string `json:"queue"`
--- a/core/estimate/book_test.go
+++ b/core/estimate/book_test.go
@@ -119,15 +119,14 @@
 	require.InDelta(t, 2, b.Predict("q", "slow", second).Typical.Seconds(), 0.2)
 }
 
-func TestFailingImageIsKnownUntilItSucceeds(t *testing.T) {
+func TestFailuresAreCountedApart(t *testing.T) {
 	var b estimate.Book
 	for range 3 {
-		b.Record(second, estimate.Report{Queue: "q", Image: "bad", Kind: estimate.Faulty})
+		b.Record(second, estimate.Report{Queue: "q", Image: "bad", Kind: estimate.Faulty, Estimate: second, Took: time.Millisecond})
 	}
-	require.True(t, b.FailingImage("q", "bad", 3))
-	require.False(t, b.FailingImage("q", "good", 1))
-	b.Record(second, estimate.Report{Queue: "q", Image: "bad", Estimate: second, Took: second})
-	require.False(t, b.FailingImage("q", "bad", 1))
+	b.Record(second, estimate.Report{Queue: "q", Image: "good", Estimate: second, Took: second})
+	require.Equal(t, second, b.Predict("q", "bad", second).Typical)
+	require.InDelta(t, 0.75, b.Summaries()[0].Failed, 0.01)
 }
 
 // Load: callers whose habit changes.
--- a/core/estimate/stored.go
+++ b/core/estimate/stored.go
@@ -35,8 +35,6 @@
 	Queue string    `json:"q"`
 	Image string    `json:"i,omitempty"`
 	Sums  []float64 `json:"s"`
-	// Streak is the number of failures in a row.
-	Streak int `json:"f,omitempty"`
 }
 
 func (m *moments) sums() []*float64 {
@@ -44,7 +42,7 @@
 }
 
 func (m *moments) stored(queue, image string) StoredItem {
-	item := StoredItem{Queue: queue, Image: image, Streak: m.Streak}
+	item := StoredItem{Queue: queue, Image: image}
 	for _, v := range m.sums() {
 		item.Sums = append(item.Sums, math.Round(*v*storedDigits)/storedDigits)
 	}
@@ -109,7 +107,7 @@
 		}
 	}
 	m.set(s)
-	if m.N < 0 || m.N > 2*maxWeight || m.Long < 0 || m.Ended < 0 || m.Failed < 0 || m.Failed > m.Ended || s.Streak < 0 ||
+	if m.N < 0 || m.N > 2*maxWeight || m.Long < 0 || m.Ended < 0 || m.Failed < 0 || m.Failed > m.Ended ||
 		math.Abs(m.D) > m.N*math.Log(maxFactor)+1 {
 		return fmt.Errorf("load estimates of queue %q: sums that no reports have", s.Queue)
 	}
@@ -120,7 +118,6 @@
 	for i, v := range m.sums() {
 		*v = s.Sums[i]
 	}
-	m.Streak = s.Streak
 }
 
 func (m *moments) merge(now time.Duration, s StoredItem) {
@@ -129,7 +126,6 @@
 	own, added := m.sums(), earlier.sums()
 	// What this owner has seen itself decides whether the last ends were failures.
 	if m.Ended == 0 {
-		m.Streak = s.Streak
 	}
 	for i := range own {
 		*own[i] += *added[i]
