--- a/core/cell/bench_test.go
+++ b/core/cell/bench_test.go
@@ -7,6 +7,7 @@
 
 	"jacinthwind/core/fleet"
 	"jacinthwind/core/job"
+	"jacinthwind/core/lookahead"
 )
 
 // benchmarkPools is the number of pools among which the executors of a benchmark are
@@ -98,3 +99,18 @@
 	}
 	return n
 }
+
+// BenchmarkSetAside measures a search for a place for one large task among 1,100 executors with
+// eight runs each.
+func BenchmarkSetAside(b *testing.B) {
+	rooms := make([]lookahead.Room, 1100)
+	for i := range rooms {
+		rooms[i].Capacity, rooms[i].Used = fleet.Vector{CPU: 32000}, fleet.Vector{CPU: 32000}
+		for n := range 8 {
+			rooms[i].Runs = append(rooms[i].Runs, lookahead.Run{Size: fleet.Vector{CPU: 4000}, End: time.Duration(100*n+i) * time.Millisecond})
+		}
+	}
+	for b.Loop() {
+		lookahead.Earliest(0, 2*time.Second, rooms, func(int) bool { return true }, fleet.Vector{CPU: 16000}, 4, 0)
+	}
+}
--- a/core/estimate/stored.go
+++ b/core/estimate/stored.go
@@ -124,9 +124,6 @@
 	var earlier moments
 	earlier.set(s)
 	own, added := m.sums(), earlier.sums()
-	// What this owner has seen itself decides whether the last ends were failures.
-	if m.Ended == 0 {
-	}
 	for i := range own {
 		*own[i] += *added[i]
 	}
