--- a/core/cell/aside.go
+++ b/core/cell/aside.go
@@ -82,6 +82,28 @@
 	}
 }
 
+// isLarge reports whether a task of the given size is clearly larger than the usual task of the
+// pool in one resource.
+func (p *pool) isLarge(size fleet.Vector) bool {
+	for i, v := range []int64{size.CPU, size.Mem, size.GPU} {
+		if float64(v) > largeFactor*p.usualSize[i] {
+			return true
+		}
+	}
+	return false
+}
+
+// sizeBand names the size of a task compared with the usual task of the pool.
+func (p *pool) sizeBand(size fleet.Vector) string {
+	switch {
+	case p.isLarge(size):
+		return "large"
+	case float64(size.CPU)*largeFactor < p.usualSize[0]:
+		return "small"
+	}
+	return "usual"
+}
+
 // fillPlace notes that a run begins on an executor with a place that is set aside.
 func (k *Kernel) fillPlace(x *executor, s *stepRun, size fleet.Vector) {
 	if !s.Service && !s.BestEffort {
@@ -177,7 +199,7 @@
 		return
 	}
 	for _, s := range candidates {
-		if !k.deservesPlace(s, p.usualSize) {
+		if !k.deservesPlace(p, s) {
 			continue
 		}
 		k.setAside(s, free, left)
@@ -188,13 +210,11 @@
 
 // deservesPlace reports whether a step has waited beyond a share of its slack for room that
 // smaller work would take.
-func (k *Kernel) deservesPlace(s *stepRun, usual [3]float64) bool {
+func (k *Kernel) deservesPlace(p *pool, s *stepRun) bool {
 	if s.waitingTasks == 0 || s.aside != nil || s.Service || s.BestEffort || s.suspected || s.tickets != nil || k.now.Monotonic < s.noAsideUntil {
 		return false
 	}
-	need := s.ReservedSize()
-	isLarger := float64(need.CPU) > largeFactor*usual[0] || float64(need.Mem) > largeFactor*usual[1] || float64(need.GPU) > largeFactor*usual[2]
-	if !isLarger && !s.Gang {
+	if !p.isLarge(s.ReservedSize()) && !s.Gang {
 		return false
 	}
 	slack := s.due - s.criticalPath - s.readyAt
--- /dev/null
+++ b/core/cell/outbox_test.go
@@ -0,0 +1,64 @@
+package cell_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"jacinthwind/core/cell"
+	"jacinthwind/core/fleet"
+	"jacinthwind/core/job"
+)
+
+// TestSlowWriteHoldsUpNoOtherJob: one transaction of a slow store takes a second, the others a
+// few milliseconds.
+func TestSlowWriteHoldsUpNoOtherJob(t *testing.T) {
+	w := newWorld(t, 2)
+	w.advance(time.Second)
+	first := true
+	w.writeTime = func(int64) time.Duration {
+		if first {
+			first = false
+			return time.Second
+		}
+		return 5 * time.Millisecond
+	}
+	held := w.submitJob(simpleJob(1, 1, 1000))
+	w.advance(100 * time.Millisecond)
+	other := w.submitJob(simpleJob(2, 1, 1000))
+	w.advance(100 * time.Millisecond)
+	require.NotContains(t, w.verdicts, held)
+	require.Equal(t, cell.Accepted, w.verdicts[other].Verdict)
+	w.advance(2 * time.Second)
+	require.Equal(t, job.Succeeded, w.jobState(simpleJob(1, 1, 1000).ID))
+}
+
+// TestEndIsAcknowledgedOnceAllWritesThatHoldItAreDone: the write with the end of a run is slow, and
+// later ones overtake it. The next owner must not start the task again.
+func TestEndIsAcknowledgedOnceAllWritesThatHoldItAreDone(t *testing.T) {
+	w := newWorld(t, 2)
+	w.taskTime = func(task string, _ int) (time.Duration, fleet.RunEnd) {
+		if strings.HasSuffix(task, ".1.0") {
+			return 30 * time.Second, fleet.EndDone
+		}
+		return 300 * time.Millisecond, fleet.EndDone
+	}
+	w.advance(time.Second)
+	j := simpleJob(1, 1, 1000)
+	j.Steps = append(j.Steps, job.Step{Count: 1, Size: fleet.Vector{CPU: 1000}, EstimateMs: 30_000, After: []int{0}})
+	w.submitJob(j)
+	w.advance(250 * time.Millisecond)
+	w.writeTime = func(int64) time.Duration { return time.Minute }
+	w.advance(400 * time.Millisecond)
+	w.writeTime = func(int64) time.Duration { return 5 * time.Millisecond }
+	for n := range 10 {
+		w.submitJob(simpleJob(10+n, 1, 500))
+		w.advance(200 * time.Millisecond)
+	}
+	require.False(t, w.acknowledged[j.ID+".0.0.0"])
+	w.replaceOwner()
+	w.advance(5 * time.Second)
+	require.Equal(t, 1, w.starts[j.ID+".0.0.0"])
+}
--- a/edge/call_metrics.go
+++ b/edge/call_metrics.go
@@ -62,6 +62,25 @@
 	m.Counter(name).Inc(1)
 }
 
+// recordStart records how long a task has waited for its start, by its size, from the fields of the
+// log event.
+func (m *CallMetrics) recordStart(fields []any) {
+	if m == nil || m.Metrics == nil {
+		return
+	}
+	var band string
+	var waitedMs int64
+	for i := 0; i+1 < len(fields); i += 2 {
+		switch fields[i] {
+		case "size_band":
+			band, _ = fields[i+1].(string)
+		case "waited_ms":
+			waitedMs, _ = fields[i+1].(int64)
+		}
+	}
+	m.Tagged(map[string]string{"size": band}).Histogram("task_wait", latencyBuckets).RecordDuration(time.Duration(waitedMs) * time.Millisecond)
+}
+
 // countTurnedAway counts connections to a listener that were closed, and requests that were
 // refused for want of memory, by their reason.
 func (m *CallMetrics) countTurnedAway(listener, reason string, n int64) {
--- a/edge/host.go
+++ b/edge/host.go
@@ -321,6 +321,9 @@
 	}
 	h.log.Event(e.Event, fields...)
 	h.metrics.countEvent(e.Event)
+	if e.Event == event.RunStarted {
+		h.metrics.recordStart(e.Fields)
+	}
 }
 
 // startCall makes a call outside of the actor and sends its result to the kernel.
