Put work that is worth nothing any more behind all other

A late step whose result would come after three times its objective went with those that still come of use. It is still done: after ten seconds it precedes all others, as before. Test: TestWorthlessWorkGoesBehindLateWork, which failed before.

--- a/core/cell/admission_test.go
+++ b/core/cell/admission_test.go
@@ -108,3 +108,35 @@
 		})
 	}
 }
+
+// TestWorthlessWorkGoesBehindLateWork: a pool that is busy for long, with two accepted jobs that are
+// late when room comes: the result of the first is worth nothing any more, that of the second is.
+func TestWorthlessWorkGoesBehindLateWork(t *testing.T) {
+	w := newWorld(t, 1)
+	w.config.Queues = append(w.config.Queues,
+		fleet.Queue{Name: "bulk", Host: "h", Prefix: "/b/", Pool: "render", MaxAttempts: 2, ObjectiveFactor: 1, ObjectiveBase: time.Minute},
+		fleet.Queue{Name: "short", Host: "h", Prefix: "/s/", Pool: "render", MaxAttempts: 2, ObjectiveFactor: 1, ObjectiveBase: 400 * time.Millisecond})
+	w.config.Index()
+	w.advance(time.Second)
+	submit := func(n int, queue string, estimateMs int64) *job.Job {
+		j := simpleJob(n, 1, 8000)
+		j.Queue, j.Steps[0].EstimateMs = queue, estimateMs
+		w.submitJob(j)
+		w.advance(100 * time.Millisecond)
+		return j
+	}
+	w.taskTime = func(task string, _ int) (time.Duration, fleet.RunEnd) {
+		if task == simpleJob(1, 1, 1).ID+".0.0.0" {
+			return 4 * time.Second, fleet.EndDone
+		}
+		return 500 * time.Millisecond, fleet.EndDone
+	}
+	submit(1, "bulk", 500)
+	worthless := submit(2, "short", 300)
+	late := submit(3, "short", 1500)
+	w.advance(4 * time.Second)
+	require.Contains(t, w.starts, late.ID+".0.0.0")
+	require.NotContains(t, w.starts, worthless.ID+".0.0.0")
+	w.advance(2 * time.Second)
+	require.Equal(t, job.Succeeded, w.jobState(worthless.ID), "it is still done")
+}
--- a/core/cell/schedule.go
+++ b/core/cell/schedule.go
@@ -95,14 +95,18 @@
 	return s.job.priority()
 }
 
-// latenessRank returns 1 for a step that can no longer meet its objective. Once the
-// step is later than starvationLimit it returns 0, and the step precedes all others
-// of its priority.
+// latenessRank returns 1 for a step that can no longer meet its objective, and 2 for one whose
+// result will be worth nothing. Once the step is later than starvationLimit it returns 0, and the
+// step precedes all others of its priority, so that all accepted work gets done.
 func (k *Kernel) latenessRank(s *stepRun) int {
-	if late := k.now.Monotonic + s.criticalPath - s.due; late > 0 && late < starvationLimit {
+	end := k.now.Monotonic + s.criticalPath
+	switch {
+	case end <= s.due || end >= s.due+starvationLimit:
+		return 0
+	case end <= s.worthUntil:
 		return 1
 	}
-	return 0
+	return 2
 }
 
 // startableExecutors returns the executors of a pool on which a task may start now.
--- a/core/cell/state.go
+++ b/core/cell/state.go
@@ -70,9 +70,10 @@
 	// notBeforeMs is the start of a scheduled occurrence as Unix time in
 	// milliseconds.
 	notBeforeMs int64
-	// due is the end of the latency objective of the job or the occurrence.
-	due       time.Duration
-	activated bool
+	// due is the end of the latency objective of the job or the occurrence, and worthUntil the
+	// time after which its result is worth nothing to the caller.
+	due, worthUntil time.Duration
+	activated       bool
 	// expected is what is expected of the run time of a task.
 	expected estimate.Prediction
 	// criticalPath is the expected time from the start of the step to the end of the
--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -241,13 +241,14 @@
 	for occ := range spec.Occurrences() {
 		first := len(j.steps)
 		for i := range spec.Steps {
-			s := &stepRun{job: j, occurrence: occ, index: i, Step: &spec.Steps[i], expected: j.outlook.steps[i], criticalPath: paths[i], due: j.due, firstTask: firstTask}
+			s := &stepRun{job: j, occurrence: occ, index: i, Step: &spec.Steps[i], expected: j.outlook.steps[i], criticalPath: paths[i], due: j.due, worthUntil: j.due + (maxLateFactor-1)*objective, firstTask: firstTask}
 			firstTask += s.Count
 			s.tasks = make([]task, s.Count)
 			s.waitingTasks = s.Count
 			if spec.OccurrenceCount > 0 {
 				s.notBeforeMs = spec.StartMs + int64(occ)*spec.IntervalMs
 				s.due = k.now.Monotonic + time.Duration(s.notBeforeMs-k.now.UnixMs)*time.Millisecond + objective
+				s.worthUntil = s.due + (maxLateFactor-1)*objective
 			}
 			j.steps = append(j.steps, s)
 		}
