--- a/edge/writer.go
+++ b/edge/writer.go
@@ -33,6 +33,8 @@
 	maxCommitBytes      = 64 << 10
 	commitTimeout       = 800 * time.Millisecond
 	commitRetryInterval = 150 * time.Millisecond
+	// maxRetries is the number of transactions that are repeated at a time.
+	maxRetries = 4
 )
 
 // errDeposed means that another owner has written to the store.
@@ -50,6 +52,9 @@
 	lanes [maxWriterLanes]lane
 	// free holds the numbers of the lanes that no write uses.
 	free chan int
+	// retries holds an entry for each transaction that is being repeated. While the store does
+	// not answer few are, so that they leave room for the renewal of the lease.
+	retries chan struct{}
 }
 
 // lane orders its transactions: each expects the sequence record of the one before.
@@ -71,7 +76,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w.free = make(chan int, len(w.lanes))
+	w.free, w.retries = make(chan int, len(w.lanes)), make(chan struct{}, maxRetries)
 	for i := range w.lanes {
 		w.lanes[i] = lane{sequenceRecord{Generation: generation}, items[laneKey(i)].Revision}
 		w.free <- i
@@ -358,6 +363,12 @@
 		Puts:   append([]core.Put{{Key: laneKey(i), Value: mustEncode(next)}}, puts...),
 		Remove: remove,
 	}
+	retrying := false
+	defer func() {
+		if retrying {
+			<-w.retries
+		}
+	}()
 	for ctx.Err() == nil {
 		revision, items, err := w.commitOnce(ctx, t)
 		if errors.Is(err, core.ErrConflict) {
@@ -371,7 +382,15 @@
 			return err
 		}
 		w.log.Event(event.WriteUnanswered, zap.Int("lane", i), zap.Int64("number", next.Number), zap.Error(err))
-		sleep(ctx, commitRetryInterval)
+		failedAt := monotonicNow()
+		if !retrying {
+			select {
+			case w.retries <- struct{}{}:
+				retrying = true
+			case <-ctx.Done():
+			}
+		}
+		sleep(ctx, commitRetryInterval-(monotonicNow()-failedAt))
 	}
 	return ctx.Err()
 }
--- a/edge/writer_test.go
+++ b/edge/writer_test.go
@@ -481,3 +481,44 @@
 		}
 	}
 }
+
+// deadStore answers nothing, and counts the transactions that it gets at a time.
+type deadStore struct {
+	*fakeStore
+	mu        sync.Mutex
+	now, most int
+	calls     int
+}
+
+func (d *deadStore) Commit(ctx context.Context, _ core.Transaction) (int64, []core.Item, error) {
+	d.mu.Lock()
+	d.calls++
+	if d.now++; d.calls > maxWriterLanes {
+		d.most = max(d.most, d.now)
+	}
+	d.mu.Unlock()
+	sleep(ctx, 20*time.Millisecond)
+	d.mu.Lock()
+	d.now--
+	d.mu.Unlock()
+	return 0, nil, core.ErrUnavailable
+}
+
+// TestFewWritesAreRepeatedWhileStoreIsAway: the store goes away in a burst, with a write in each
+// lane. All of them at once, repeated through peers, had left no room for the renewal of the lease.
+func TestFewWritesAreRepeatedWhileStoreIsAway(t *testing.T) {
+	s, w := newTestWriter(t)
+	dead := &deadStore{fakeStore: s}
+	w.store = dead
+	ctx, cancel := context.WithTimeout(t.Context(), 700*time.Millisecond)
+	defer cancel()
+	var writes sync.WaitGroup
+	for i := range maxWriterLanes {
+		writes.Go(func() {
+			_, _ = w.write(ctx, cell.Write{Puts: []cell.Record{{Kind: cell.ProgressRecord, Name: fmt.Sprint("job", i), Value: job.Progress{}}}})
+		})
+	}
+	writes.Wait()
+	require.Greater(t, dead.calls, maxWriterLanes)
+	require.LessOrEqual(t, dead.most, maxRetries)
+}
