--- a/core/candidacy/room.go
+++ b/core/candidacy/room.go
@@ -40,6 +40,14 @@
 	return max(r.Cores, 0)
 }
 
+// Slowed returns the room of a VM that computes at a share of its usual speed.
+func (r Room) Slowed(speed float64) Room {
+	if speed > 0 && speed < 1 {
+		r.Cores *= speed
+	}
+	return r
+}
+
 // isBetter reports whether another VM has clearly more room. Nothing is better than an unknown
 // room, and an unknown one than nothing.
 func (r Room) isBetter(than Room) bool {
@@ -63,37 +71,40 @@
 
 // Tenure decides for one VM when it hands over the pools. The zero value is ready for use.
 type Tenure struct {
-	// since holds when each other VM with clearly more room was first listed without pause.
-	since map[string]time.Duration
+	// others holds the other live VMs, with since when each has been listed without pause.
+	others map[string]listed
 	// yieldedAt is when this VM last handed over for want of room.
 	yieldedAt  time.Duration
 	hasYielded bool
 }
 
+// listed is a VM that is listed since a time.
+type listed struct {
+	Room
+	since time.Duration
+}
+
 // Observe takes over the rooms of the other live VMs.
-func (t *Tenure) Observe(now time.Duration, own Room, others map[string]Room) {
-	since := map[string]time.Duration{}
+func (t *Tenure) Observe(now time.Duration, others map[string]Room) {
+	current := make(map[string]listed, len(others))
 	for name, r := range others {
-		if !r.isBetter(own) {
-			continue
-		}
-		if at, known := t.since[name]; known {
-			since[name] = at
-		} else {
-			since[name] = now
+		since := now
+		if known, ok := t.others[name]; ok {
+			since = known.since
 		}
+		current[name] = listed{r, since}
 	}
-	t.since = since
+	t.others = current
 }
 
-// ShouldYield reports whether an owner since ownedSince should hand over now, since a VM with
-// clearly more room is ready. It counts the answer as a handover.
-func (t *Tenure) ShouldYield(now, ownedSince time.Duration) bool {
+// ShouldYield reports whether an owner since ownedSince with the given room at present should hand
+// over now, since a VM with clearly more room is ready. It counts the answer as a handover.
+func (t *Tenure) ShouldYield(now, ownedSince time.Duration, own Room) bool {
 	if now < ownedSince+minTenure || (t.hasYielded && now < t.yieldedAt+minPause) {
 		return false
 	}
-	for _, at := range t.since {
-		if now >= at+minReady {
+	for _, other := range t.others {
+		if other.isBetter(own) && now >= other.since+minReady {
 			t.yieldedAt, t.hasYielded = now, true
 			return true
 		}
--- a/core/candidacy/room_test.go
+++ b/core/candidacy/room_test.go
@@ -29,6 +29,9 @@
 		"an earlier build":         {small, map[string]candidacy.Room{"a": {}}, false},
 		"own room not known":       {candidacy.Room{}, map[string]candidacy.Room{"a": large}, false},
 		"odd figures":              {small, map[string]candidacy.Room{"a": {Cores: -3, LinkMbps: -1}}, false},
+		"slowed beside large":      {large.Slowed(0.2), map[string]candidacy.Room{"a": large}, true},
+		"hardly slowed":            {large.Slowed(0.8), map[string]candidacy.Room{"a": large}, false},
+		"odd speed":                {large.Slowed(-1), map[string]candidacy.Room{"a": large}, false},
 		"processor without a link": {candidacy.Room{Cores: 0.2}, map[string]candidacy.Room{"a": {Cores: 1}}, true},
 	} {
 		delay := candidacy.ClaimDelay(c.own, c.others)
@@ -41,17 +44,17 @@
 func TestSmallOwnerHandsOverOnceLargeOneIsReady(t *testing.T) {
 	var tenure candidacy.Tenure
 	at := func(ms int) time.Duration { return time.Minute + time.Duration(ms)*time.Millisecond }
-	tenure.Observe(at(0), small, map[string]candidacy.Room{"a": small})
-	require.False(t, tenure.ShouldYield(at(5000), at(0)))
-	tenure.Observe(at(5000), small, map[string]candidacy.Room{"a": small, "b": large})
-	require.False(t, tenure.ShouldYield(at(6000), at(0)), "it has just started")
-	tenure.Observe(at(6500), small, map[string]candidacy.Room{"a": small})
-	tenure.Observe(at(7000), small, map[string]candidacy.Room{"b": large})
-	require.False(t, tenure.ShouldYield(at(8500), at(0)), "it has started again")
-	require.False(t, tenure.ShouldYield(at(9500), at(9000)), "this ownership has just begun")
-	require.True(t, tenure.ShouldYield(at(9500), at(0)))
-	require.False(t, tenure.ShouldYield(at(14000), at(10000)), "the others cannot claim")
-	require.True(t, tenure.ShouldYield(at(26000), at(10000)))
+	tenure.Observe(at(0), map[string]candidacy.Room{"a": small})
+	require.False(t, tenure.ShouldYield(at(5000), at(0), small))
+	tenure.Observe(at(5000), map[string]candidacy.Room{"a": small, "b": large})
+	require.False(t, tenure.ShouldYield(at(6000), at(0), small), "it has just started")
+	tenure.Observe(at(6500), map[string]candidacy.Room{"a": small})
+	tenure.Observe(at(7000), map[string]candidacy.Room{"b": large})
+	require.False(t, tenure.ShouldYield(at(8500), at(0), small), "it has started again")
+	require.False(t, tenure.ShouldYield(at(9500), at(9000), small), "this ownership has just begun")
+	require.True(t, tenure.ShouldYield(at(9500), at(0), small))
+	require.False(t, tenure.ShouldYield(at(14000), at(10000), small), "the others cannot claim")
+	require.True(t, tenure.ShouldYield(at(26000), at(10000), small))
 }
 
 // Load: every pair of VMs hands over to the better one, for as long as there is one.
@@ -61,8 +64,8 @@
 	}
 	yields := func(from, to string) bool {
 		var tenure candidacy.Tenure
-		tenure.Observe(0, rooms[from], map[string]candidacy.Room{to: rooms[to]})
-		return tenure.ShouldYield(time.Minute, 0)
+		tenure.Observe(0, map[string]candidacy.Room{to: rooms[to]})
+		return tenure.ShouldYield(time.Minute, 0, rooms[from])
 	}
 	for x := range rooms {
 		for y := range rooms {
@@ -73,3 +76,11 @@
 		}
 	}
 }
+
+// Load: the VM of the owner is slowed down to a fifth while others are not.
+func TestOwnerThatIsSlowedHandsOver(t *testing.T) {
+	var tenure candidacy.Tenure
+	tenure.Observe(0, map[string]candidacy.Room{"a": large})
+	require.False(t, tenure.ShouldYield(time.Minute, 0, large))
+	require.True(t, tenure.ShouldYield(time.Minute, 0, large.Slowed(0.2)))
+}
--- a/core/event/platform.go
+++ b/core/event/platform.go
@@ -93,6 +93,7 @@
 	ConnectionsClosed     Number = 751
 	RequestsRefused       Number = 752
 	ConnectionsDiscarded  Number = 761
+	VMSpeedChanged        Number = 762
 )
 
 func init() {
@@ -184,6 +185,7 @@
 		RecordSkipped:         "a stored record cannot be read and is skipped",
 		EndedJobsLoaded:       "the owner knows all jobs that ended under earlier owners",
 		ConnectionsDiscarded:  "a call on a kept connection got no answer; the idle connections to the same address that brought nothing since are closed",
+		VMSpeedChanged:        "this VM computes at less than half of its usual speed, or no longer does",
 		WriteRejected:         "the store rejects a record for its form or size; its job is refused or fails, and all other writes go on",
 		ConnectionsClosed:     "connections were closed whose clients did not use them in time, or to make room for others",
 		RequestsRefused:       "requests were refused since there is no memory for them",
--- a/edge/owner.go
+++ b/edge/owner.go
@@ -73,8 +73,9 @@
 	settings  cell.Settings
 	// cores is the CPU time that this VM may use, in cores.
 	cores float64
-	// room is what this VM has for an owner.
+	// room is what this VM has for an owner while it computes at its usual speed.
 	room    candidacy.Room
+	speed   speedMeter
 	log     *eventlog.Log
 	metrics *CallMetrics
 	system  *actor.ActorSystem
@@ -135,12 +136,15 @@
 	}
 }
 
+// measureSpeed measures the speed of this VM until ctx ends.
+func (o *ownership) measureSpeed(ctx context.Context) { o.speed.run(ctx, o.log) }
+
 // setRooms stores the rooms of the other live VMs.
 func (o *ownership) setRooms(rooms map[string]candidacy.Room) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.rooms = rooms
-	o.tenure.Observe(monotonicNow(), o.room, rooms)
+	o.tenure.Observe(monotonicNow(), rooms)
 }
 
 // shouldYield reports whether a VM with clearly more room is ready to own the pools, which this
@@ -148,7 +152,7 @@
 func (o *ownership) shouldYield(ownedSince time.Duration) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.tenure.ShouldYield(monotonicNow(), ownedSince)
+	return o.tenure.ShouldYield(monotonicNow(), ownedSince, o.room.Slowed(o.speed.share()))
 }
 
 // currentRecord returns the owner's record and a channel that is closed when the
@@ -217,7 +221,7 @@
 	if isRecent(o.yieldedAt) || isRecent(o.gaveUpAt) || o.cutOff() {
 		d += yieldClaimDelay
 	}
-	return d + candidacy.ClaimDelay(o.room, o.rooms)
+	return d + candidacy.ClaimDelay(o.room.Slowed(o.speed.share()), o.rooms)
 }
 
 // yield hands the pools over to a VM that can serve them better, at most once in
@@ -323,7 +327,7 @@
 	o.host = h
 	o.mu.Unlock()
 	sendOperatorState(h, o.operatorState())
-	o.log.Event(event.OwnershipBegun, zap.Int64("token", claim.token), zap.Int64("generation", claim.sequence.Generation), zap.Int64("took_ms", (monotonicNow()-began).Milliseconds()), zap.Int("open_jobs", len(loaded.open)), zap.Bool("indexed", loaded.indexed))
+	o.log.Event(event.OwnershipBegun, zap.Int64("token", claim.token), zap.Int64("generation", claim.sequence.Generation), zap.Int64("took_ms", (monotonicNow()-began).Milliseconds()), zap.Int("open_jobs", len(loaded.open)), zap.Bool("indexed", loaded.indexed), zap.Float64("speed", o.speed.share()))
 	reason := o.renewUntilLost(ctx, h, claim, endReasons)
 	o.mu.Lock()
 	o.host = nil
--- a/edge/process.go
+++ b/edge/process.go
@@ -159,7 +159,7 @@
 func (p *Process) Run(ctx context.Context) error {
 	var group run.Group
 	work, stopWork := context.WithCancel(context.Background())
-	for _, loop := range []func(context.Context){p.watchOperatorState, p.watchLiveNodes, p.keepRegistered, p.confirmOutages, p.keepLink, p.ownership.run, p.callers.run, p.readyChecks.run} {
+	for _, loop := range []func(context.Context){p.watchOperatorState, p.watchLiveNodes, p.keepRegistered, p.confirmOutages, p.keepLink, p.ownership.run, p.ownership.measureSpeed, p.callers.run, p.readyChecks.run} {
 		c, cancel := context.WithCancel(work)
 		group.Add(func() error { keepRunning(c, p.log, loop); return nil }, func(error) { cancel() })
 	}
