--- a/core/candidacy/room.go
+++ b/core/candidacy/room.go
@@ -40,9 +40,13 @@
 	return max(r.Cores, 0)
 }
 
+// slowSpeed is the share of its usual speed below which a VM counts as slowed. A VM that is busy
+// with its own work also computes more slowly.
+const slowSpeed = 0.5
+
 // Slowed returns the room of a VM that computes at a share of its usual speed.
 func (r Room) Slowed(speed float64) Room {
-	if speed > 0 && speed < 1 {
+	if speed > 0 && speed < slowSpeed {
 		r.Cores *= speed
 	}
 	return r
@@ -97,8 +101,7 @@
 	t.others = current
 }
 
-// ShouldYield reports whether an owner since ownedSince with the given room at present should hand
-// over now, since a VM with clearly more room is ready. It counts the answer as a handover.
+// ShouldYield reports whether an owner since ownedSince with the given room should hand over now, since a VM with clearly more room is ready. It counts the answer as a handover.
 func (t *Tenure) ShouldYield(now, ownedSince time.Duration, own Room) bool {
 	if now < ownedSince+minTenure || (t.hasYielded && now < t.yieldedAt+minPause) {
 		return false
--- a/edge/owner.go
+++ b/edge/owner.go
@@ -152,7 +152,7 @@
 func (o *ownership) shouldYield(ownedSince time.Duration) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.tenure.ShouldYield(monotonicNow(), ownedSince, o.room.Slowed(o.speed.share()))
+	return o.tenure.ShouldYield(monotonicNow(), ownedSince, o.room)
 }
 
 // currentRecord returns the owner's record and a channel that is closed when the
