--- a/core/cell/straggler.go
+++ b/core/cell/straggler.go
@@ -65,16 +65,18 @@
 		speeds.add(r.step.job.ID, r.step.expected.Sigma, speed)
 		oldest = min(oldest, r.startedAt())
 	}
-	// Of the runs that began together, those that last are the long ones. Those that have ended
-	// meanwhile count as well.
-	for _, e := range x.endedSpeeds {
-		if e.at >= oldest {
-			speeds.add(e.job, e.sigma, e.speed)
+	if len(judged) > 0 || x.isSlow {
+		// Of the runs that began together, those that last are the long ones. Those that have
+		// ended meanwhile count as well.
+		for _, e := range x.endedSpeeds {
+			if e.at >= oldest {
+				speeds.add(e.job, e.sigma, e.speed)
+			}
+		}
+		if isSlow := speeds.isSlow(); isSlow != x.isSlow && (isSlow || speeds.runs >= minSlowRuns) {
+			x.isSlow = isSlow
+			k.log(event.ExecutorSlow, "executor", x.ID, "slow", isSlow, "runs", speeds.runs, "jobs", len(speeds.jobs), "speed", round(speeds.typical()))
 		}
-	}
-	if isSlow := speeds.isSlow(); isSlow != x.isSlow && (isSlow || speeds.runs >= minSlowRuns) {
-		x.isSlow = isSlow
-		k.log(event.ExecutorSlow, "executor", x.ID, "slow", isSlow, "runs", speeds.runs, "jobs", len(speeds.jobs), "speed", round(speeds.typical()))
 	}
 	var late []*run
 	if x.isSlow {
