--- a/core/cell/outbox.go
+++ b/core/cell/outbox.go
@@ -25,8 +25,10 @@
 	busyJobs, busyRecords map[string]bool
 	// ackGroups holds the acknowledgements that wait for writes.
 	ackGroups []*ackGroup
-	lastWrite int64
-	flushedAt time.Duration
+	// bytesInProgress is the memory that the new jobs take that these writes store.
+	bytesInProgress int64
+	lastWrite       int64
+	flushedAt       time.Duration
 	// writeTime is how long a write usually takes at present.
 	writeTime time.Duration
 }
@@ -48,6 +50,9 @@
 	// writeEntries is from how many entries on a further write is begun, so that each fits into
 	// one transaction of the store.
 	writeEntries = 24
+	// maxBytesInProgress bounds the memory that the jobs take whose records are being written,
+	// but for a single one: each record is held in several forms meanwhile.
+	maxBytesInProgress = 1 << 20
 )
 
 // batch holds what is completed when a write is stored.
@@ -60,8 +65,10 @@
 	removed   []string
 	vmOrders  []string
 	ackGroups []*ackGroup
-	// entries is about how many entries the write has in the store.
+	// entries is about how many entries the write has in the store, and bytes the memory that
+	// the new jobs among them take.
 	entries int
+	bytes   int64
 }
 
 // ack records that the ends of an incarnation up to a number may be acknowledged.
@@ -139,6 +146,10 @@
 		if o.busyJobs[id] {
 			continue
 		}
+		if size := newRecordBytes(o.dirty[id]); size > 0 && o.bytesInProgress+b.bytes > 0 && o.bytesInProgress+b.bytes+size > maxBytesInProgress {
+			// The many small ones need not wait for the few large ones.
+			continue
+		}
 		if b.entries >= writeEntries {
 			k.sendWrite(w, b)
 			if free--; free <= 0 {
@@ -209,6 +220,7 @@
 	o.busyJobs[j.ID] = true
 	records := k.jobRecords(j)
 	w.Puts = append(w.Puts, records...)
+	b.bytes += newRecordBytes(j)
 	// A job that begins or ends also changes the index of the open ones.
 	b.entries += len(records) + countIf(!j.stored || j.state.IsFinal())
 	b.jobs, b.versions = append(b.jobs, j), append(b.versions, j.version)
@@ -224,12 +236,22 @@
 	}
 }
 
+// newRecordBytes returns the memory that a job takes whose whole record is to be written, zero for
+// others.
+func newRecordBytes(j *jobState) int64 {
+	if j.stored || j.state.IsFinal() {
+		return 0
+	}
+	return j.heldBytes
+}
+
 // sendWrite sends a write unless it is empty.
 func (k *Kernel) sendWrite(w *Write, b *batch) {
 	if len(w.Puts)+len(w.Remove) == 0 {
 		return
 	}
 	k.outbox.inProgress[w.Number] = b
+	k.outbox.bytesInProgress += b.bytes
 	k.emit(*w)
 }
 
@@ -268,6 +290,7 @@
 		return
 	}
 	delete(o.inProgress, e.Write)
+	o.bytesInProgress -= done.bytes
 	o.writeTime += (k.now.Monotonic - done.sentAt - o.writeTime) / writeTimeWeight
 	rejected := map[string]bool{}
 	for _, id := range e.Rejected {
