--- a/core/cell/outbox_test.go
+++ b/core/cell/outbox_test.go
@@ -62,3 +62,35 @@
 	w.advance(5 * time.Second)
 	require.Equal(t, 1, w.starts[j.ID+".0.0.0"])
 }
+
+// TestFewLargeJobsAreWrittenAtATime: jobs of the largest size arrive at once, and small ones after
+// them. Each record is held in several forms while it is written.
+func TestFewLargeJobsAreWrittenAtATime(t *testing.T) {
+	w := newWorld(t, 2)
+	w.advance(time.Second)
+	w.storeDown = true
+	for n := range 5 {
+		w.submitJob(distantJob(1+n, 1, 1000, 1))
+	}
+	for n := range 5 {
+		w.submitJob(simpleJob(20+n, 1, 1000))
+	}
+	w.advance(400 * time.Millisecond)
+	large, small := 0, 0
+	for _, e := range w.heldWrites {
+		for _, r := range e.Puts {
+			if j, ok := r.Value.(*job.Job); ok && len(j.Steps) > 100 {
+				large++
+			} else if ok {
+				small++
+			}
+		}
+	}
+	require.Equal(t, 1, large)
+	require.Equal(t, 5, small)
+	w.restoreStore()
+	w.advance(2 * time.Second)
+	for n := range 5 {
+		require.NotEmpty(t, w.jobState(distantJob(1+n, 1, 1, 1).ID))
+	}
+}
