--- a/commands/edge.go
+++ b/commands/edge.go
@@ -56,7 +56,7 @@
 	// heapPermille is the part of the process's memory, in thousandths, that the runtime
 	// may use together with nonHeapBytes, the program itself and the C library.
 	heapPermille = 875
-	nonHeapBytes = 16 << 20
+	nonHeapBytes = 22 << 20
 )
 
 // memoryLimit returns the memory up to which the runtime puts off the collection of garbage in
--- a/core/cell/outlook.go
+++ b/core/cell/outlook.go
@@ -30,19 +30,23 @@
 // caller says.
 func (k *Kernel) foresee(j *job.Job) outlook {
 	o := outlook{steps: make([]estimate.Prediction, len(j.Steps))}
-	typical, mean := make([]time.Duration, len(j.Steps)), make([]time.Duration, len(j.Steps))
+	times := make([]time.Duration, len(j.Steps))
 	for i := range j.Steps {
 		s := &j.Steps[i]
+		// A service does not end; its estimate says how long it takes to start.
+		times[i] = s.Estimate()
 		if !s.Service {
 			o.steps[i] = k.estimates.Predict(j.Queue, s.Image, s.Estimate())
+			times[i] = o.steps[i].Typical
 		}
-		typical[i], mean[i] = o.steps[i].Typical, o.steps[i].Mean
-		if s.Service {
-			// It does not end; its estimate says how long it takes to start.
-			typical[i], mean[i] = s.Estimate(), s.Estimate()
+	}
+	o.chain = j.CriticalPath(times)
+	for i := range j.Steps {
+		if !j.Steps[i].Service {
+			times[i] = o.steps[i].Mean
 		}
 	}
-	o.chain, o.work = j.CriticalPath(typical), j.Work(mean)
+	o.work = j.Work(times)
 	return o
 }
 
--- a/core/cell/recover.go
+++ b/core/cell/recover.go
@@ -13,7 +13,7 @@
 // LoadJob restores a job from the store; it must be called before the first event.
 func (k *Kernel) LoadJob(spec *job.Job, p job.Progress) {
 	k.loadTeamLimit(spec)
-	j := k.addJob(spec, p, 0)
+	j := k.addJob(spec, p, 0, k.foresee(spec))
 	j.stored = true
 	if p.State.IsFinal() {
 		return
--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -43,7 +43,7 @@
 	earlier, isRetry := k.refusals[e.Job.ID]
 	if isRetry && e.Sent <= earlier.refusedAt {
 		// Its caller was told that the job never runs.
-		k.refuseJob(e, earlier.firstTry, Answer{Verdict: Refused, RetryAfter: minRetryAfter, Reason: "the job was refused after this call was sent"})
+		k.refuseJob(e, earlier.firstTry, Answer{Verdict: Refused, RetryAfter: minRetryAfter, Reason: "the job was refused after this call was sent"}, outlook{})
 		if e.Sent == 0 {
 			// Such a call never looks younger, and must not bar the ones that follow for good.
 			k.refusals[e.Job.ID] = earlier
@@ -56,7 +56,7 @@
 	}
 	queue := k.config.Queue(e.Job.Queue)
 	if queue == nil {
-		k.refuseJob(e, firstTry, Answer{Verdict: NotFound, Reason: "no such queue"})
+		k.refuseJob(e, firstTry, Answer{Verdict: NotFound, Reason: "no such queue"}, outlook{})
 		return
 	}
 	e.Job.Pool = queue.Pool
@@ -81,12 +81,12 @@
 		a = k.admitToMemory(e.Job)
 	}
 	if a.Verdict != Accepted {
-		k.refuseJob(e, firstTry, a)
+		k.refuseJob(e, firstTry, a, o)
 		return
 	}
 	delete(k.refusals, e.Job.ID)
 	k.recordRules(e.Job, queue)
-	j := k.addJob(e.Job, job.Progress{State: job.Pending}, turnAt)
+	j := k.addJob(e.Job, job.Progress{State: job.Pending}, turnAt, o)
 	k.chargeShare(j)
 	j.submitCalls = append(j.submitCalls, e.Call)
 	k.markDirty(j)
@@ -94,11 +94,11 @@
 
 // refuseJob refuses a job that was first submitted at a given time. No call that was sent
 // before is accepted afterwards.
-func (k *Kernel) refuseJob(e Submitted, firstTry time.Duration, a Answer) {
+func (k *Kernel) refuseJob(e Submitted, firstTry time.Duration, a Answer, o outlook) {
 	k.refusals[e.Job.ID] = refusal{firstTry, k.now.Monotonic, k.refusals[e.Job.ID].counted}
 	k.log(event.JobRefused, "job", e.Job.ID, "queue", e.Job.Queue, "team", e.Job.Team, "reason", a.Reason,
 		"retry_after_ms", a.RetryAfter.Milliseconds(), "expected_wait_ms", a.Wait.Milliseconds(), "share_wait_ms", a.ShareWait.Milliseconds(), "beyond_share", a.BeyondShare,
-		"chain_ms", k.foresee(e.Job).chain.Milliseconds(), "said_chain_ms", e.Job.CriticalPath(e.Job.Estimates()).Milliseconds(), "asked_first_ms", (k.now.Monotonic - firstTry).Milliseconds(), "attempt", e.Attempt)
+		"chain_ms", o.chain.Milliseconds(), "said_chain_ms", e.Job.CriticalPath(e.Job.Estimates()).Milliseconds(), "asked_first_ms", (k.now.Monotonic - firstTry).Milliseconds(), "attempt", e.Attempt)
 	k.emit(Reply{e.Call, a})
 }
 
@@ -217,12 +217,11 @@
 }
 
 // addJob creates the state of a new or a stored job.
-func (k *Kernel) addJob(spec *job.Job, p job.Progress, turnAt time.Duration) *jobState {
+func (k *Kernel) addJob(spec *job.Job, p job.Progress, turnAt time.Duration, o outlook) *jobState {
 	queue := k.queueOf(spec, spec.AcceptedQueue)
 	age := time.Duration(max(k.now.UnixMs-spec.AcceptedMs, 0)) * time.Millisecond
-	j := &jobState{Job: spec, state: p.State, visibleState: p.State, queue: queue, endedMs: p.EndedMs, turnAt: turnAt}
+	j := &jobState{Job: spec, state: p.State, visibleState: p.State, queue: queue, endedMs: p.EndedMs, turnAt: turnAt, outlook: o}
 	j.arrivedAt = k.now.Monotonic - age
-	j.outlook = k.foresee(spec)
 	objective := latencyObjective(queue, j.outlook.chain)
 	j.due = j.arrivedAt + objective
 	k.jobs[spec.ID] = j
