Drop a time that is kept twice

The time until which a place is set aside was written into the place and read from nowhere: the set of places of a step holds it. Tests of core/lookahead, and of places, gangs and memory in core/cell, passed; no behaviour changes.

--- a/core/cell/aside.go
+++ b/core/cell/aside.go
@@ -257,7 +257,6 @@
 		var last time.Duration
 		for i, x := range group {
 			if p, ok := places[i]; ok {
-				p.Until = a.until
 				x.place = &setPlace{p, a, x.incarnationStartedMs}
 				a.executors = append(a.executors, x)
 				last = max(last, p.At)
--- a/core/lookahead/room.go
+++ b/core/lookahead/room.go
@@ -47,9 +47,8 @@
 // Place is a place that is set aside for a task of the given size.
 type Place struct {
 	Need fleet.Vector
-	// At is when the task is expected to fit, and Until when the place is given back at the
-	// latest.
-	At, Until time.Duration
+	// At is when the task is expected to fit.
+	At time.Duration
 	// Spare is what is expected to be free at At beside the task.
 	Spare fleet.Vector
 }
