--- a/core/cell/dump.go
+++ b/core/cell/dump.go
@@ -55,9 +55,11 @@
 	Used       fleet.Vector `json:"used"`
 	Runs       []RunDump    `json:"runs"`
 	Usable     bool         `json:"usable"`
-	Draining   bool         `json:"draining"`
-	Misses     int          `json:"misses"`
-	Failures   int          `json:"failures"`
+	// Described is true if the entry of the incarnation that answers has been read.
+	Described bool `json:"described"`
+	Draining  bool `json:"draining"`
+	Misses    int  `json:"misses"`
+	Failures  int  `json:"failures"`
 	// SetAsideFor names the step for which a place is set aside, empty if there is none, and
 	// FreeInMs is when it is expected to be free.
 	SetAsideFor string `json:"set_aside_for,omitempty"`
@@ -149,7 +151,7 @@
 func (k *Kernel) dumpExecutor(x *executor) ExecutorDump {
 	d := ExecutorDump{
 		ID: x.ID, Pool: x.Pool, DataCentre: x.DataCentre, VM: x.vmName, Capacity: x.Capacity, Used: x.used,
-		Usable: k.isUsable(x), Draining: x.Draining, Misses: x.misses, Failures: x.failureStreak,
+		Usable: k.isUsable(x), Described: x.isDescribed(), Draining: x.Draining, Misses: x.misses, Failures: x.failureStreak,
 	}
 	if p := x.place; p != nil {
 		d.SetAsideFor = fmt.Sprintf("%s.%d.%d", p.step.job.ID, p.step.occurrence, p.step.index)
--- /dev/null
+++ b/core/cell/entry.go
@@ -0,0 +1,72 @@
+package cell
+
+import (
+	"jacinthwind/core/event"
+	"jacinthwind/core/fleet"
+)
+
+// noteEntry notes an entry of a registered executor that was read. Entries and answers arrive in
+// any order, and another writer may have left the entry: only one that names the start of the
+// present incarnation describes it.
+func (k *Kernel) noteEntry(x *executor, e fleet.Executor) {
+	x.listed, x.latestEntry = true, e
+	switch {
+	case e.StartedMs < x.bornMs:
+		k.logUndescribed(x)
+		return
+	case x.bornMs != 0 && e.StartedMs > x.bornMs:
+		k.expectIncarnation(x, e.StartedMs)
+	case x.bornMs == 0 && e.StartedMs != x.StartedMs:
+		// An answer in transit may come from the previous incarnation.
+		x.noticedAt = k.now.Monotonic
+		k.describe(x, e)
+	default:
+		k.describe(x, e)
+	}
+	x.listedAddress = e.Address
+	if x.Address != x.answeredAddress {
+		// An incarnation keeps its address, so the entry may be another writer's.
+		x.Address = e.Address
+	}
+}
+
+// describe takes over what an entry says of the present incarnation of an executor.
+func (k *Kernel) describe(x *executor, e fleet.Executor) {
+	if x.Capacity != e.Capacity {
+		k.log(event.ExecutorResized, "executor", x.ID, "before", x.Capacity, "now", e.Capacity, "used", x.used, "runs", len(x.runs))
+	}
+	wasDescribed := x.isDescribed()
+	e.Address = x.Address
+	x.Executor = e
+	x.fullCapacity = x.fullCapacity.Max(e.Capacity)
+	k.forgetExecutorIndexes()
+	if !wasDescribed && x.isDescribed() && x.undescribedSince != 0 {
+		k.log(event.ExecutorDescribed, "executor", x.ID, "born", x.bornMs, "after_ms", (k.now.Monotonic - x.undescribedSince).Milliseconds(),
+			"pool", x.Pool, "labels", x.Labels, "room", x.Capacity, "draining", x.Draining)
+		x.undescribedSince = 0
+	}
+}
+
+// describeByLatestEntry looks for the description of an incarnation whose start an answer has
+// shown: its entry may have been read before.
+func (k *Kernel) describeByLatestEntry(x *executor) {
+	if !x.isDescribed() && x.latestEntry.StartedMs == x.bornMs {
+		k.describe(x, x.latestEntry)
+	}
+	k.logUndescribed(x)
+}
+
+// logUndescribed logs that nothing starts on an executor until the entry of the incarnation that
+// answers has been read.
+func (k *Kernel) logUndescribed(x *executor) {
+	if x.bornMs == 0 || x.isDescribed() || x.undescribedSince != 0 {
+		return
+	}
+	x.undescribedSince = k.now.Monotonic
+	k.log(event.ExecutorUndescribed, "executor", x.ID, "born", x.bornMs, "entry_born", x.latestEntry.StartedMs, "described_born", x.StartedMs)
+}
+
+// isDescribed reports whether the entry that is known of an executor is that of the incarnation
+// that answers. What the entry of another one says of the pool, the room, the labels and the end
+// says nothing of this one.
+func (x *executor) isDescribed() bool { return x.StartedMs == x.bornMs }
--- /dev/null
+++ b/core/cell/entry_test.go
@@ -0,0 +1,144 @@
+package cell_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"jacinthwind/core/cell"
+	"jacinthwind/core/event"
+	"jacinthwind/core/fleet"
+	"jacinthwind/core/job"
+)
+
+// nextIncarnations changes what an executor is with its next incarnation, so that a task of
+// labelledTask may not start there.
+var nextIncarnations = map[string]func(*fakeExecutor){
+	"another kind": func(x *fakeExecutor) { x.Labels = []string{"b", "r1-1"} },
+	"less room": func(x *fakeExecutor) {
+		x.Capacity, x.room = fleet.Vector{CPU: 500, Mem: 8000}, fleet.Vector{CPU: 500, Mem: 8000}
+	},
+	"another pool": func(x *fakeExecutor) { x.Pool = "other" },
+	"draining":     func(x *fakeExecutor) { x.Draining = true },
+}
+
+// labelledTask returns a job of one task that the first incarnation of each executor may run.
+func labelledTask(n int) *job.Job {
+	j := simpleJob(n, 1, 1000)
+	j.Steps[0].Label = "a"
+	return j
+}
+
+// restartAs lets an executor crash and start again as another incarnation. Owners still read the
+// entry of the one before.
+func (w *world) restartAs(x *fakeExecutor, change func(*fakeExecutor)) {
+	entry := x.Executor
+	x.oldEntry = &entry
+	w.crashFor(x, 300*time.Millisecond)
+	change(x)
+}
+
+// TestTaskStartsByEntryOfEarlierIncarnation guards against starts in a new incarnation by the labels,
+// the room, the pool or the state that the entry of the one before names (review/12, ROUTE).
+func TestTaskStartsByEntryOfEarlierIncarnation(t *testing.T) {
+	for way, learn := range map[string]func(w *world, x *fakeExecutor){
+		"the owner learns of it by an answer": func(*world, *fakeExecutor) {},
+		"the next owner has known no other":   func(w *world, _ *fakeExecutor) { w.replaceOwner() },
+		"its clock is known before its start": func(w *world, x *fakeExecutor) {
+			w.step(cell.Stopped{Executor: x.ID, Sent: w.now, Answer: fleet.OrderAnswer{Outcome: fleet.OrderDone, ClockMs: 1}})
+		},
+		"its entry is replaced by a late write of the one before": func(w *world, x *fakeExecutor) {
+			w.step(cell.ExecutorsChanged{Changed: []fleet.Executor{x.Executor}})
+			w.advance(100 * time.Millisecond)
+			w.listExecutors()
+		},
+		"its pool is not listed for a while": func(w *world, x *fakeExecutor) {
+			w.advance(3 * time.Second)
+			w.step(cell.ExecutorsChanged{Removed: []string{x.ID}})
+			w.advance(100 * time.Millisecond)
+			w.listExecutors()
+		},
+		"another writer names a later start": func(w *world, x *fakeExecutor) {
+			w.advance(3 * time.Second)
+			other := *x.oldEntry
+			other.StartedMs = x.StartedMs + 1
+			w.step(cell.ExecutorsChanged{Changed: []fleet.Executor{other}})
+		},
+	} {
+		for change, next := range nextIncarnations {
+			t.Run(way+", "+change, func(t *testing.T) {
+				w, x := newIdleWorld(t, 5*time.Second, time.Second)
+				w.changeConfiguration(func(c *fleet.Configuration) { c.Pools = append(c.Pools, fleet.Pool{Name: "other"}) })
+				w.restartAs(x, next)
+				learn(w, x)
+				w.advance(3 * time.Second)
+				j := labelledTask(1)
+				j.Steps[0].Service = true
+				w.submitJob(j)
+				w.advance(time.Second)
+				require.Zero(t, w.starts[taskOf(1, 0)], "the task starts by an entry of an earlier incarnation")
+				x.oldEntry = nil
+				w.listExecutors()
+				w.advance(time.Second)
+				require.Zero(t, w.starts[taskOf(1, 0)], "the task starts against the entry")
+				w.join("e1")
+				w.advance(time.Second)
+				require.Equal(t, map[string]int{"e1": 1}, w.countRuns(j.ID))
+			})
+		}
+	}
+}
+
+// TestNewIncarnationServesByItsOwnEntry guards against executors that stay unused after a restart, or
+// because of an entry that another incarnation or another writer has left.
+func TestNewIncarnationServesByItsOwnEntry(t *testing.T) {
+	become := func(x *fakeExecutor) { x.Labels = []string{"new", "r1-1"} }
+	for name, show := range map[string]func(w *world, x *fakeExecutor){
+		"the entry comes before the first answer": func(w *world, x *fakeExecutor) {
+			w.step(cell.ExecutorsChanged{Changed: []fleet.Executor{x.Executor}})
+			w.advance(100 * time.Millisecond)
+		},
+		"the entry comes after it": func(w *world, x *fakeExecutor) {
+			w.advance(3 * time.Second)
+			w.step(cell.ExecutorsChanged{Changed: []fleet.Executor{x.Executor}})
+		},
+		"an older one comes after it": func(w *world, x *fakeExecutor) {
+			w.step(cell.ExecutorsChanged{Changed: []fleet.Executor{x.Executor}})
+			w.advance(3 * time.Second)
+			w.step(cell.ExecutorsChanged{Changed: []fleet.Executor{*x.oldEntry}})
+		},
+		"one with a later start, which no answer shows, comes after it": func(w *world, x *fakeExecutor) {
+			w.step(cell.ExecutorsChanged{Changed: []fleet.Executor{x.Executor}})
+			w.advance(3 * time.Second)
+			other := *x.oldEntry
+			other.StartedMs = x.StartedMs + 1
+			w.step(cell.ExecutorsChanged{Changed: []fleet.Executor{other}})
+			w.advance(time.Second)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w, x := newIdleWorld(t, 5*time.Second, 100*time.Millisecond)
+			w.restartAs(x, become)
+			show(w, x)
+			j := labelledTask(1)
+			j.Steps[0].Label = "new"
+			w.submitJob(j)
+			w.advance(3 * time.Second)
+			w.requireSuccess(taskOf(1, 0))
+		})
+	}
+}
+
+// TestWaitForEntryIsLogged guards against an executor that gets no work without a line that says why.
+func TestWaitForEntryIsLogged(t *testing.T) {
+	w, x := newIdleWorld(t, 5*time.Second, time.Second)
+	w.restartAs(x, nextIncarnations["another kind"])
+	w.advance(3 * time.Second)
+	waits := w.loggedEvents(event.ExecutorUndescribed)
+	require.Len(t, waits, 1)
+	require.Equal(t, map[string]any{"executor": "e0", "born": x.StartedMs, "entry_born": int64(1), "described_born": int64(1)}, waits[0])
+	x.oldEntry = nil
+	w.listExecutors()
+	require.Len(t, w.loggedEvents(event.ExecutorDescribed), 1)
+}
--- a/core/cell/executors.go
+++ b/core/cell/executors.go
@@ -73,25 +73,7 @@
 		if x == nil {
 			x = k.addExecutor(e)
 		}
-		switch {
-		case x.bornMs != 0 && e.StartedMs > x.bornMs:
-			x.announcedEnd = x.announcesEnd()
-			k.expectIncarnation(x, e.StartedMs)
-		case x.bornMs == 0 && e.StartedMs != x.Executor.StartedMs:
-			// An answer in transit may come from the previous incarnation.
-			x.noticedAt = k.now.Monotonic
-		}
-		if x.Capacity != e.Capacity {
-			k.log(event.ExecutorResized, "executor", x.ID, "before", x.Capacity, "now", e.Capacity, "used", x.used, "runs", len(x.runs))
-		}
-		address := x.Address
-		x.Executor, x.listedAddress = e, e.Address
-		if address == x.answeredAddress {
-			// An incarnation keeps its address, so the entry may be another writer's.
-			x.Address = address
-		}
-		x.fullCapacity = x.fullCapacity.Max(e.Capacity)
-		x.listed = true
+		k.noteEntry(x, e)
 	}
 }
 
@@ -122,7 +104,7 @@
 
 // isUsableUncordoned reports whether an executor might get new work if it were not cordoned.
 func (k *Kernel) isUsableUncordoned(x *executor) bool {
-	return x.listed && x.fenced && !x.unplaced && x.expectedStartMs == 0 && x.unsizedRuns == 0 && !x.Draining && x.misses < missThreshold &&
+	return x.listed && x.fenced && !x.unplaced && x.isDescribed() && x.expectedStartMs == 0 && x.unsizedRuns == 0 && !x.Draining && x.misses < missThreshold &&
 		!k.evacuated[x.DataCentre] && x.avoidUntil <= k.now.Monotonic
 }
 
--- a/core/cell/fake_executor_test.go
+++ b/core/cell/fake_executor_test.go
@@ -59,6 +59,8 @@
 	// oldEntry is what the list of executors still says of the earlier incarnation, nil if it
 	// says what is so.
 	oldEntry *fleet.Executor
+	// restartsUnseen is true if an owner reads the entries of its incarnations only after answers.
+	restartsUnseen bool
 	// replacing is true if another executor is about to start on the VM.
 	replacing bool
 }
@@ -180,6 +182,8 @@
 		require.Nil(w.t, other.runs[o.Task], "at %v: %s run %d starts on %s while a run is active on %s", w.now, o.Task, o.Run, x.ID, other.ID)
 	}
 	require.False(w.t, w.acknowledged[o.Task], "at %v: %s starts after its successful end was acknowledged", w.now, o.Task)
+	require.True(w.t, step.Label == "" || x.HasLabel(step.Label), "at %v: %s requires the label %s and starts on %s, which has %v", w.now, o.Task, step.Label, x.ID, x.Labels)
+	require.Equal(w.t, spec.Pool, x.Pool, "at %v: %s starts on %s of another pool", w.now, o.Task, x.ID)
 	if w.guardsRoom && !x.used().Add(step.ReservedSize()).FitsIn(x.room) {
 		return answer(fleet.OrderNoCapacity)
 	}
--- a/core/cell/incarnation.go
+++ b/core/cell/incarnation.go
@@ -56,8 +56,9 @@
 	silentSince time.Duration
 	// silentInIsolation is true if it had a run in isolation then.
 	silentInIsolation bool
-	// announcedEnd is true if its entry announced its end, before the next one's replaced it.
-	announcedEnd bool
+	// undescribedSince is when it was found that the entry of another incarnation was read last,
+	// zero if that is not so.
+	undescribedSince time.Duration
 	// lossNoted is true once its loss was noted.
 	lossNoted bool
 	// closedUntil is until when nothing starts here, so that a run can be isolated once the
@@ -125,6 +126,7 @@
 	k.assumeLongestLease(x)
 	k.renewAtOnce(x)
 	k.dropTickets(x)
+	k.describeByLatestEntry(x)
 }
 
 // clockRegressionSlack is how far an executor's clock may lag behind the expected
--- a/core/cell/lending.go
+++ b/core/cell/lending.go
@@ -176,7 +176,7 @@
 	if k.config.IsSparePool(vm.Pool) {
 		return time.Nanosecond, vm.State == fleet.VMUp
 	}
-	if x == nil || !x.listed || !x.fenced || x.Draining || x.misses > 0 || x.cordoned {
+	if x == nil || !x.listed || !x.fenced || !x.isDescribed() || x.Draining || x.misses > 0 || x.cordoned {
 		return 0, false
 	}
 	if len(x.runs) > 0 || x.Pool != vm.Pool || x.hasUnstoredEnds() {
--- a/core/cell/loss.go
+++ b/core/cell/loss.go
@@ -179,12 +179,8 @@
 	return ok && (vm.State == fleet.VMMoving || vm.State == fleet.VMMaintenance || vm.Pool != x.Pool)
 }
 
-// announcesEnd reports whether the known incarnation of an executor has announced its end. The
-// entry may be the next one's.
-func (x *executor) announcesEnd() bool {
-	isOwnEntry := x.bornMs == 0 || x.StartedMs <= x.bornMs
-	return x.announcedEnd || (x.Draining && isOwnEntry)
-}
+// announcesEnd reports whether the present incarnation of an executor has announced its end.
+func (x *executor) announcesEnd() bool { return x.Draining && x.isDescribed() }
 
 // lostWithItsRack reports whether most executors of the rack of a loss were lost together with
 // it, which no single task can cause. Where the executor has certainly crashed, those that are merely
--- a/core/cell/renewal.go
+++ b/core/cell/renewal.go
@@ -212,6 +212,7 @@
 	}
 	if x.bornMs == 0 && !x.hasClockReset(sent, s.ClockMs) {
 		x.bornMs = s.StartedMs
+		k.describeByLatestEntry(x)
 		return true
 	}
 	earlierToken := x.token
--- a/core/cell/restart_world_test.go
+++ b/core/cell/restart_world_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"jacinthwind/core/cell"
 	"jacinthwind/core/fleet"
 	"jacinthwind/core/job"
 )
@@ -51,17 +52,30 @@
 	w.taskTime = func(string, int) (time.Duration, fleet.RunEnd) { return d, fleet.EndDone }
 }
 
-// restartUnseen lets an executor crash, unless it is down, and start again under its id. Its entry
-// does not show the new incarnation yet.
+// restartUnseen lets an executor crash, unless it is down, and start again under its id. Its answers
+// show the new incarnation before its entry does.
 func (w *world) restartUnseen(x *fakeExecutor) {
 	if !x.down {
 		w.crash(x)
 		w.advance(300 * time.Millisecond)
 	}
 	x.down, x.bootedAt, x.StartedMs = false, w.now, w.now.Milliseconds()
+	x.restartsUnseen = true
 	w.setVM(x.ID, fleet.VMUp)
 }
 
+// showUnseenEntry lets an owner read the entry of an incarnation that has answered it before.
+func (w *world) showUnseenEntry(k *cell.Kernel, answer cell.Renewed) {
+	x := w.executors[answer.Order.Executor]
+	if x == nil || !x.restartsUnseen || x.oldEntry != nil || answer.State.StartedMs == 0 {
+		return
+	}
+	entry := x.Executor
+	// The one that answered may have crashed since.
+	entry.StartedMs = answer.State.StartedMs
+	w.stepKernel(k, cell.ExecutorsChanged{Changed: []fleet.Executor{entry}})
+}
+
 // crashFor lets an executor crash and start again under its id after some time, unseen.
 func (w *world) crashFor(x *fakeExecutor, away time.Duration) {
 	w.crash(x)
--- a/core/cell/runs.go
+++ b/core/cell/runs.go
@@ -51,7 +51,7 @@
 		Ticket: s.tickets[x.ID],
 	}})
 	k.log(event.RunStarted, "task", r.name, "run", number, "executor", x.ID, "waited_ms", (k.now.Monotonic - s.readyAt).Milliseconds(),
-		"size_band", k.ensurePool(s.job.Pool).sizeBand(r.reserved), "isolated", r.isolated)
+		"size_band", k.ensurePool(s.job.Pool).sizeBand(r.reserved), "isolated", r.isolated, "born", x.bornMs)
 }
 
 // handleStartAnswer handles an executor's answer to a start order.
--- a/core/cell/state.go
+++ b/core/cell/state.go
@@ -208,7 +208,12 @@
 
 // executor is the owner's view of an executor.
 type executor struct {
+	// Executor is what an entry said of the incarnation that StartedMs names, which is the
+	// present one if isDescribed. Address is where the next call goes.
 	fleet.Executor
+	// latestEntry is the entry that was read last. Another incarnation or another writer may
+	// have left it.
+	latestEntry fleet.Executor
 	// incarnation is the present one.
 	incarnation
 	listed bool
--- a/core/cell/stray_starts_test.go
+++ b/core/cell/stray_starts_test.go
@@ -167,6 +167,7 @@
 	w.advance(400 * time.Millisecond)
 	w.orderDelivery = deliverPromptly
 	w.restartUnseen(x)
+	x.oldEntry = nil
 	w.advance(3 * time.Second)
 	require.Len(t, x.runs, 1, "the task starts again in the next one")
 	w.cutOff(x)
--- a/core/cell/waiting.go
+++ b/core/cell/waiting.go
@@ -71,12 +71,13 @@
 	t := &s.tasks[index]
 	free := k.startableExecutors(s.job.Pool)
 	need := s.ReservedSize()
-	var fitting, closed, roomy, avoided, cordoned, silent int
+	var fitting, closed, roomy, avoided, cordoned, silent, undescribed int
 	for _, x := range k.poolExecutors(s.job.Pool) {
 		if hasRoom(x, s, need) && (s.PerExecutor == 0 || x.countRuns(s) < s.PerExecutor) {
 			roomy++
 			cordoned += countIf(x.cordoned)
 			silent += countIf(x.misses > 0 || !x.fenced || !x.listed)
+			undescribed += countIf(!x.isDescribed())
 			avoided += countIf(x.avoidUntil > k.now.Monotonic)
 		}
 	}
@@ -89,7 +90,7 @@
 	k.log(event.TaskWaits, "pool", s.job.Pool, "job", s.job.ID, "step", s.index, "task", index, "waited_ms", (k.now.Monotonic - since).Milliseconds(),
 		"reason", k.waitReason(s, t, len(free), fitting, closed), "crashes", t.crashes, "size", need, "label", s.Label, "rack", s.Rack,
 		"executors", len(k.poolExecutors(s.job.Pool)), "startable", len(free), "fitting", fitting, "closed", closed,
-		"with_room", roomy, "cordoned", cordoned, "avoided", avoided, "silent", silent)
+		"with_room", roomy, "cordoned", cordoned, "avoided", avoided, "silent", silent, "undescribed", undescribed)
 }
 
 // waitReason says why a task does not start, given how many executors of its pool can start
--- a/core/cell/world_effects_test.go
+++ b/core/cell/world_effects_test.go
@@ -13,7 +13,8 @@
 func (w *world) executeEffect(k *cell.Kernel, effect cell.Effect) {
 	switch e := effect.(type) {
 	case cell.Log:
-		if e.Event == event.TaskWaits || e.Event == event.ExecutorResized {
+		switch e.Event {
+		case event.TaskWaits, event.ExecutorResized, event.ExecutorUndescribed, event.ExecutorDescribed:
 			w.logged = append(w.logged, e)
 		}
 		if e.Event == event.JobFailed && w.checksAttempts {
--- a/core/cell/world_test.go
+++ b/core/cell/world_test.go
@@ -391,8 +391,12 @@
 
 // answerOwner passes an answer to the owner that asked, unless it is gone.
 func (w *world) answerOwner(k *cell.Kernel, e cell.Event) {
-	if w.alive[k] {
-		w.stepKernel(k, e)
+	if !w.alive[k] {
+		return
+	}
+	w.stepKernel(k, e)
+	if answer, ok := e.(cell.Renewed); ok {
+		w.showUnseenEntry(k, answer)
 	}
 }
 
--- a/core/event/platform.go
+++ b/core/event/platform.go
@@ -30,6 +30,8 @@
 	ExecutorLost          Number = 626
 	ExecutorResized       Number = 627
 	EndsWithheld          Number = 628
+	ExecutorUndescribed   Number = 629
+	ExecutorDescribed     Number = 630
 	MoveOrdered           Number = 631
 	UpkeepOrdered         Number = 632
 	VMOrderAnswered       Number = 633
@@ -125,6 +127,8 @@
 		ExecutorLost:          "an executor ended or stayed out of reach with runs in progress",
 		ExecutorResized:       "an executor offers more or less capacity than before",
 		EndsWithheld:          "an executor has more ends than it lists at a time, or lists all of them again",
+		ExecutorUndescribed:   "an executor gets no new work until the entry of the incarnation that answers has been read",
+		ExecutorDescribed:     "the entry of an executor's present incarnation was read",
 		MoveOrdered:           "a VM was ordered to move to another pool",
 		UpkeepOrdered:         "the maintenance of a VM was ordered",
 		VMOrderAnswered:       "an order for a VM was answered or got no answer",
