--- a/core/cell/entry.go
+++ b/core/cell/entry.go
@@ -1,10 +1,16 @@
 package cell
 
 import (
+	"slices"
+	"time"
+
 	"jacinthwind/core/event"
 	"jacinthwind/core/fleet"
 )
 
+// minRestartTime is the shortest time between the end of an incarnation and the start of the next.
+const minRestartTime = 200 * time.Millisecond
+
 // noteEntry notes an entry of a registered executor that was read. Entries and answers arrive in
 // any order, and another writer may have left the entry: only one that names the start of the
 // present incarnation describes it.
@@ -70,3 +76,24 @@
 // that answers. What the entry of another one says of the pool, the room, the labels and the end
 // says nothing of this one.
 func (x *executor) isDescribed() bool { return x.StartedMs == x.bornMs }
+
+// isShown reports whether the present incarnation of an executor would get a call that is sent now:
+// the answer to a renewal has just shown it, or one that was sent just after that is still open. The
+// connection of an open call is reset when the incarnation ends.
+func (k *Kernel) isShown(x *executor) bool {
+	shownUntil := x.shownAt + minRestartTime
+	return k.now.Monotonic <= shownUntil || (x.renewing && x.renewalSentAt <= shownUntil)
+}
+
+// shownExecutors returns those of the free executors on which a step with a label may start: another
+// incarnation, which nobody has noticed, may be of another kind. It asks the others that have room.
+func (k *Kernel) shownExecutors(s *stepRun, free []*executor) []*executor {
+	need := s.ReservedSize()
+	return slices.DeleteFunc(slices.Clone(free), func(x *executor) bool {
+		if k.isShown(x) {
+			return false
+		}
+		x.answerWanted = x.answerWanted || hasRoom(x, s, need)
+		return true
+	})
+}
--- a/core/cell/entry_test.go
+++ b/core/cell/entry_test.go
@@ -1,6 +1,7 @@
 package cell_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -130,6 +131,45 @@
 	}
 }
 
+// TestLabelledTaskStartsInUnnoticedIncarnation guards against a task that runs on an executor without
+// its label: the idle executor has started again as another kind, and no call has shown it yet
+// (found beside review/12, ROUTE).
+func TestLabelledTaskStartsInUnnoticedIncarnation(t *testing.T) {
+	for shift := range 25 {
+		for name, change := range map[string]func(*job.Job){
+			"a task": func(*job.Job) {},
+			"a gang": func(j *job.Job) { j.Steps[0].Count, j.Steps[0].Gang = 2, true },
+		} {
+			t.Run(fmt.Sprintf("%s after %d", name, shift), func(t *testing.T) {
+				w, x := newIdleWorld(t, 5*time.Second+time.Duration(shift)*100*time.Millisecond, time.Second)
+				w.restartAs(x, nextIncarnations["another kind"])
+				j := labelledTask(1)
+				change(j)
+				w.submitJob(j)
+				w.advance(3 * time.Second)
+				require.Empty(t, w.starts)
+				w.join("e1")
+				w.advance(3 * time.Second)
+				require.Equal(t, job.Succeeded, w.jobState(j.ID))
+			})
+		}
+	}
+}
+
+// TestLabelledTaskWaitsForOneAnswer guards against labelled tasks that wait for longer than it takes to
+// ask an idle executor, or that wait for a renewal that is open.
+func TestLabelledTaskWaitsForOneAnswer(t *testing.T) {
+	w, _ := newIdleWorld(t, 5*time.Second+900*time.Millisecond, time.Second)
+	w.submitJob(labelledTask(1))
+	w.advance(5 * testStep)
+	require.Equal(t, 1, w.starts[taskOf(1, 0)])
+	w.holdsRenewals = true
+	w.advance(600 * time.Millisecond)
+	w.submitJob(labelledTask(2))
+	w.advance(3 * testStep)
+	require.Equal(t, 1, w.starts[taskOf(2, 0)])
+}
+
 // TestWaitForEntryIsLogged guards against an executor that gets no work without a line that says why.
 func TestWaitForEntryIsLogged(t *testing.T) {
 	w, x := newIdleWorld(t, 5*time.Second, time.Second)
--- a/core/cell/incarnation.go
+++ b/core/cell/incarnation.go
@@ -52,6 +52,9 @@
 	// aliveAt is when the last call that was answered had been sent: it lived then, while
 	// its answer may be much older than its arrival.
 	aliveAt time.Duration
+	// shownAt is when the answer to a renewal last showed that it lives. The answers to other
+	// calls do not name the incarnation.
+	shownAt time.Duration
 	// silentSince is when it first missed a call after its last answer.
 	silentSince time.Duration
 	// silentInIsolation is true if it had a run in isolation then.
--- a/core/cell/renewal.go
+++ b/core/cell/renewal.go
@@ -45,7 +45,7 @@
 		if wait > 0 && (k.hasUnresolvedRuns(x) || x.expectedStartMs != 0) {
 			wait = 0
 		}
-		x.renewing, x.answerWanted = true, false
+		x.renewing, x.answerWanted, x.renewalSentAt = true, false, k.now.Monotonic
 		k.emit(Renew{k.newRenewal(x, wait)})
 	}
 }
@@ -187,7 +187,7 @@
 	}
 	x.answeredAddress = x.Address
 	x.fenced, x.absent, x.lastAnswerAt, x.aliveAt = true, false, k.now.Monotonic, max(x.aliveAt, e.Sent)
-	x.clockMs, x.clockReadAt = s.ClockMs, k.now.Monotonic
+	x.clockMs, x.clockReadAt, x.shownAt = s.ClockMs, k.now.Monotonic, k.now.Monotonic
 	if firstAnswer {
 		k.assumeInheritedLease(x)
 	}
--- a/core/cell/schedule.go
+++ b/core/cell/schedule.go
@@ -139,6 +139,9 @@
 	if !s.suspected && !mayBeClosed && s.aside == nil && full.rejects(s, s.ReservedSize()) {
 		return
 	}
+	if s.Label != "" {
+		free = k.shownExecutors(s, free)
+	}
 	if s.job.queue != nil && s.job.queue.NeedsTicket && !k.ensureTickets(s, free) {
 		return
 	}
