--- a/core/cell/entry_test.go
+++ b/core/cell/entry_test.go
@@ -170,6 +170,17 @@
 	require.Equal(t, 1, w.starts[taskOf(2, 0)])
 }
 
+// TestLabelledTaskAsksForTicketsAtOnce guards against a call for advice that names no executor, since
+// none has been shown yet: the step would wait for the next call.
+func TestLabelledTaskAsksForTicketsAtOnce(t *testing.T) {
+	w := newAdvisedWorld(t, 2, fleet.AdviceTimes{Base: 5 * time.Millisecond, TicketLife: 3 * time.Second})
+	w.advance(4*time.Second + 900*time.Millisecond)
+	w.submitJob(labelledTask(1))
+	w.advance(10 * testStep)
+	require.Equal(t, 1, w.starts[taskOf(1, 0)])
+	require.Equal(t, 1, w.advisor.handled)
+}
+
 // TestWaitForEntryIsLogged guards against an executor that gets no work without a line that says why.
 func TestWaitForEntryIsLogged(t *testing.T) {
 	w, x := newIdleWorld(t, 5*time.Second, time.Second)
--- a/core/cell/schedule.go
+++ b/core/cell/schedule.go
@@ -139,12 +139,12 @@
 	if !s.suspected && !mayBeClosed && s.aside == nil && full.rejects(s, s.ReservedSize()) {
 		return
 	}
-	if s.Label != "" {
-		free = k.shownExecutors(s, free)
-	}
 	if s.job.queue != nil && s.job.queue.NeedsTicket && !k.ensureTickets(s, free) {
 		return
 	}
+	if s.Label != "" {
+		free = k.shownExecutors(s, free)
+	}
 	if s.Gang {
 		if s.mayAttempt(0) {
 			k.startGang(s, free)
