--- a/core/cell/entry.go
+++ b/core/cell/entry.go
@@ -19,7 +19,6 @@
 	switch {
 	case e.StartedMs < x.bornMs:
 		k.logUndescribed(x)
-		return
 	case x.bornMs != 0 && e.StartedMs > x.bornMs:
 		k.expectIncarnation(x, e.StartedMs)
 	case x.bornMs == 0 && e.StartedMs != x.StartedMs:
@@ -83,15 +82,15 @@
 func (k *Kernel) isShown(x *executor) bool { return k.now.Monotonic <= x.shownAt+minRestartTime }
 
 // shownExecutors returns those of the free executors on which a step with a label may start: another
-// incarnation, which nobody has noticed, may be of another kind. The others that have room are asked
-// at once.
+// incarnation, which nobody has noticed, may be of another kind. The others that fit are asked at
+// once.
 func (k *Kernel) shownExecutors(s *stepRun, free []*executor) []*executor {
-	need := s.ReservedSize()
+	need, mayStart := s.ReservedSize(), k.withinTeamLimit(s, 1)
 	return slices.DeleteFunc(slices.Clone(free), func(x *executor) bool {
 		if k.isShown(x) {
 			return false
 		}
-		if hasRoom(x, s, need) {
+		if mayStart && k.fits(x, s, need) {
 			x.answerWanted = true
 			if x.renewing && x.renewalWaits {
 				k.renewAtOnce(x)
--- a/core/cell/entry_test.go
+++ b/core/cell/entry_test.go
@@ -136,6 +136,21 @@
 	}
 }
 
+// TestIncarnationWithEarlierStartIsReached guards against an executor that is not found again since its
+// time of day was set back: its entry names another address, and an earlier start than before.
+func TestIncarnationWithEarlierStartIsReached(t *testing.T) {
+	w, x := newIdleWorld(t, 5*time.Second, 100*time.Millisecond)
+	w.restart(x)
+	w.advance(3 * time.Second)
+	w.crashFor(x, 300*time.Millisecond)
+	x.StartedMs, x.Address = x.StartedMs-10_000, "elsewhere"
+	w.listExecutors()
+	w.advance(5 * time.Second)
+	task := w.submitTask(1)
+	w.advance(time.Second)
+	w.requireSuccess(task)
+}
+
 // TestLabelledTaskStartsInUnnoticedIncarnation guards against a task that runs on an executor without
 // its label: the executor has started again as another kind, and no call has shown it yet. A renewal
 // may be open, whose connection was not reset (found beside review/12, ROUTE).
--- a/core/cell/incarnation.go
+++ b/core/cell/incarnation.go
@@ -59,8 +59,8 @@
 	silentSince time.Duration
 	// silentInIsolation is true if it had a run in isolation then.
 	silentInIsolation bool
-	// undescribedSince is when it was found that the entry of another incarnation was read last,
-	// zero if that is not so.
+	// undescribedSince is when it was found that its own entry has not been read yet, zero if it
+	// has.
 	undescribedSince time.Duration
 	// lossNoted is true once its loss was noted.
 	lossNoted bool
