--- a/core/cell/entry.go
+++ b/core/cell/entry.go
@@ -13,10 +13,13 @@
 
 // noteEntry notes an entry of a registered executor that was read. Entries and answers arrive in
 // any order, and another writer may have left the entry: only one that names the start of the
-// present incarnation describes it.
+// present incarnation describes it. The entries of an executor that names none describe the
+// incarnation that is known when they are read.
 func (k *Kernel) noteEntry(x *executor, e fleet.Executor) {
 	x.listed, x.latestEntry = true, e
 	switch {
+	case e.StartedMs == 0 && x.StartedMs == 0:
+		k.describe(x, e)
 	case e.StartedMs < x.bornMs:
 		k.logUndescribed(x)
 	case x.bornMs != 0 && e.StartedMs > x.bornMs:
@@ -42,7 +45,10 @@
 	}
 	wasDescribed := x.isDescribed()
 	e.Address = x.Address
-	x.Executor = e
+	x.Executor, x.describesMs = e, e.StartedMs
+	if e.StartedMs == 0 {
+		x.describesMs = x.bornMs
+	}
 	x.fullCapacity = x.fullCapacity.Max(e.Capacity)
 	k.forgetExecutorIndexes()
 	if !wasDescribed && x.isDescribed() && x.undescribedSince != 0 {
@@ -55,7 +61,12 @@
 // describeByLatestEntry looks for the description of an incarnation whose start an answer has
 // shown: its entry may have been read before.
 func (k *Kernel) describeByLatestEntry(x *executor) {
-	if !x.isDescribed() && x.latestEntry.StartedMs == x.bornMs {
+	switch {
+	case x.isDescribed():
+	case x.describesMs == 0:
+		// The entry was read after the incarnation was noticed.
+		x.describesMs = x.bornMs
+	case x.latestEntry.StartedMs == x.bornMs:
 		k.describe(x, x.latestEntry)
 	}
 	k.logUndescribed(x)
@@ -68,13 +79,13 @@
 		return
 	}
 	x.undescribedSince = k.now.Monotonic
-	k.log(event.ExecutorUndescribed, "executor", x.ID, "born", x.bornMs, "entry_born", x.latestEntry.StartedMs, "described_born", x.StartedMs)
+	k.log(event.ExecutorUndescribed, "executor", x.ID, "born", x.bornMs, "entry_born", x.latestEntry.StartedMs, "described_born", x.describesMs)
 }
 
 // isDescribed reports whether the entry that is known of an executor is that of the incarnation
 // that answers. What the entry of another one says of the pool, the room, the labels and the end
 // says nothing of this one.
-func (x *executor) isDescribed() bool { return x.StartedMs == x.bornMs }
+func (x *executor) isDescribed() bool { return x.describesMs == x.bornMs }
 
 // isShown reports whether the present incarnation of an executor would get a call that is sent now:
 // the answer to a renewal has just shown it. An open call proves nothing, since an executor that
--- a/core/cell/entry_test.go
+++ b/core/cell/entry_test.go
@@ -203,6 +203,45 @@
 	require.Equal(t, 1, w.advisor.handled)
 }
 
+// TestEntriesWithoutStartServe guards against an executor that gets no work since its entries name no
+// start, and against starts by those that were read before its incarnation was noticed.
+func TestEntriesWithoutStartServe(t *testing.T) {
+	w, _ := newIdleWorld(t, time.Second, 100*time.Millisecond)
+	w.executors["e0"].Draining = true
+	w.addExecutor("e1")
+	x := w.executors["e1"]
+	list := func() {
+		undated := x.Executor
+		undated.StartedMs, x.oldEntry = 0, &undated
+		w.listExecutors()
+		w.advance(time.Second)
+	}
+	list()
+	w.submitJob(labelledTask(1))
+	w.advance(time.Second)
+	w.requireSuccess(taskOf(1, 0))
+	w.crashFor(x, 300*time.Millisecond)
+	nextIncarnations["another kind"](x)
+	w.advance(3 * time.Second)
+	lasting := labelledTask(2)
+	lasting.Steps[0].Service = true
+	w.submitJob(lasting)
+	w.advance(time.Second)
+	require.Zero(t, w.starts[taskOf(2, 0)])
+	list()
+	w.requireSuccess(w.submitAndAwait(3))
+	w.replaceOwner()
+	w.advance(time.Second)
+	w.requireSuccess(w.submitAndAwait(4))
+}
+
+// submitAndAwait submits a job of one task, waits for a second, and returns the id of the task.
+func (w *world) submitAndAwait(n int) string {
+	task := w.submitTask(n)
+	w.advance(time.Second)
+	return task
+}
+
 // TestWaitForEntryIsLogged guards against an executor that gets no work without a line that says why.
 func TestWaitForEntryIsLogged(t *testing.T) {
 	w, x := newIdleWorld(t, 5*time.Second, time.Second)
--- a/core/cell/state.go
+++ b/core/cell/state.go
@@ -208,9 +208,12 @@
 
 // executor is the owner's view of an executor.
 type executor struct {
-	// Executor is what an entry said of the incarnation that StartedMs names, which is the
+	// Executor is what an entry said of the incarnation that started at describesMs, which is the
 	// present one if isDescribed. Address is where the next call goes.
 	fleet.Executor
+	// describesMs is zero while no answer has shown the start of an incarnation whose entries
+	// name none.
+	describesMs int64
 	// latestEntry is the entry that was read last. Another incarnation or another writer may
 	// have left it.
 	latestEntry fleet.Executor
