--- a/core/cell/entry_random_test.go
+++ b/core/cell/entry_random_test.go
@@ -24,14 +24,14 @@
 		jobs := 0
 		for range rapid.IntRange(3, 25).Draw(t, "length") {
 			x := w.executors[fmt.Sprintf("e%d", rapid.IntRange(0, 3).Draw(t, "executor"))]
-			switch rapid.IntRange(0, 6).Draw(t, "act") {
-			case 0, 1:
+			switch rapid.SampledFrom([]string{"submit", "submit", "restart", "restart", "odd entry", "next owner", "wait"}).Draw(t, "act") {
+			case "submit":
 				jobs++
 				j := simpleJob(jobs, rapid.IntRange(1, 4).Draw(t, "tasks"), 2000)
 				j.Steps[0].Label = rapid.SampledFrom([]string{"a", "b"}).Draw(t, "label")
 				j.Steps[0].Service = rapid.Bool().Draw(t, "lasts")
 				w.submitJob(j)
-			case 2, 3:
+			case "restart":
 				if x.down || x.oldEntry != nil {
 					continue
 				}
@@ -47,21 +47,18 @@
 						w.listExecutors()
 					})
 				})
-			case 4:
+			case "odd entry":
+				odd := x.Executor
 				if x.oldEntry != nil {
-					w.step(cell.ExecutorsChanged{Changed: []fleet.Executor{*x.oldEntry}})
+					odd = *x.oldEntry
 				} else {
 					// Another writer's.
-					odd := x.Executor
-					odd.StartedMs, odd.Labels = odd.StartedMs+int64(rapid.IntRange(-1, 1).Draw(t, "odd"))*50, []string{"a", "b", "r1-1"}
-					if odd.StartedMs != x.StartedMs {
-						w.step(cell.ExecutorsChanged{Changed: []fleet.Executor{odd}})
-					}
-				}
-			case 5:
-				if rapid.IntRange(0, 3).Draw(t, "owner") == 0 {
-					w.replaceOwner()
+					odd.StartedMs += rapid.SampledFrom([]int64{-50, 50}).Draw(t, "odd")
+					odd.Labels = []string{"a", "b", "r1-1"}
 				}
+				w.step(cell.ExecutorsChanged{Changed: []fleet.Executor{odd}})
+			case "next owner":
+				w.replaceOwner()
 			}
 			w.advance(ms("pause", 0, 1500))
 		}
--- a/core/cell/entry_test.go
+++ b/core/cell/entry_test.go
@@ -54,7 +54,7 @@
 			w.advance(100 * time.Millisecond)
 			w.listExecutors()
 		},
-		"its pool is not listed for a while": func(w *world, x *fakeExecutor) {
+		"its entry is gone for a while, and the one before is back": func(w *world, x *fakeExecutor) {
 			w.advance(3 * time.Second)
 			w.step(cell.ExecutorsChanged{Removed: []string{x.ID}})
 			w.advance(100 * time.Millisecond)
