--- a/core/cell/entry_test.go
+++ b/core/cell/entry_test.go
@@ -60,6 +60,12 @@
 			w.advance(100 * time.Millisecond)
 			w.listExecutors()
 		},
+		"another writer names no start": func(w *world, x *fakeExecutor) {
+			w.advance(3 * time.Second)
+			other := *x.oldEntry
+			other.StartedMs = 0
+			w.step(cell.ExecutorsChanged{Changed: []fleet.Executor{other}})
+		},
 		"another writer names a later start": func(w *world, x *fakeExecutor) {
 			w.advance(3 * time.Second)
 			other := *x.oldEntry
